Serve and call HTTP on buffered streams with http_parser

Cause: evhttp does not read while an answer is due, takes requests that two readers frame differently, and hides bytes behind an answer. Callers of the new platform pipeline requests and leave while they run. Ruled out: watching EPOLLRDHUP beside evhttp (sees a close, but not requests behind the first); Boost.Beast (Asio's types everywhere). Conclusion: docs/adr/0010.

--- /dev/null
+++ b/src/adapters/client_connection.h
@@ -0,0 +1,63 @@
+/// @file
+/// One connection of an HTTP client: carries one request at a time.
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <functional>
+#include <string>
+
+#include "src/adapters/http_client.h"
+
+namespace dewcrank::adapters {
+
+/// A stream to one address, with the answer that is being read from it.
+class ClientConnection {
+public:
+    /// What the user of a connection is told.
+    class Listener {
+    public:
+        virtual ~Listener() = default;
+        virtual void onConnected() = 0;
+        virtual void onAnswer(HttpAnswer answer) = 0;
+        /// The connection has ended or is of no more use.
+        virtual void onBroken(const std::string& reason) = 0;
+    };
+
+    ClientConnection(HttpClient& client, std::string address);
+    ~ClientConnection();
+    ClientConnection(const ClientConnection&) = delete;
+    ClientConnection& operator=(const ClientConnection&) = delete;
+
+    /// @return false if the address is none or no socket is to be had.
+    bool connect();
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] bool isConnected() const { return is_connected_; }
+    /// Events go to `listener`; to the client's pool while it is null.
+    void setListener(Listener* listener) { listener_ = listener; }
+    void write(const HttpRequest& request);
+    /// True if another request may be sent, now that the answer is here.
+    [[nodiscard]] bool isReusable() const;
+    void markIdle(TimePoint now) { idle_since_ = now; }
+    [[nodiscard]] bool isFresh(TimePoint now) const { return now - idle_since_ < longest_idle_; }
+
+private:
+    static void onReadable(bufferevent* stream, void* self);
+    static void onEvent(bufferevent* stream, short what, void* self);
+    void readAnswer();
+    void complete();
+    void broken(const std::string& reason);
+
+    HttpClient& client_;
+    std::string address_;
+    bufferevent* stream_ = nullptr;
+    HttpMessageParser parser_;
+    Listener* listener_ = nullptr;
+    bool is_connected_ = false;
+    bool is_broken_ = false;
+    bool keeps_alive_ = false;
+    TimePoint idle_since_{};
+    Duration longest_idle_ = kLongestIdle;
+};
+
+}  // namespace dewcrank::adapters
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,265 +1,155 @@
 #include "src/adapters/http_client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-
 #include <algorithm>
 #include <utility>
 
-#include "src/adapters/socket_address.h"
+#include "src/adapters/client_connection.h"
 
 namespace dewcrank::adapters {
 
-namespace {
+/// One attempt: owns its connection while it runs.
+class HttpClient::Exchange : public Attempt, private ClientConnection::Listener {
+public:
+    Exchange(HttpClient& client, HttpRequest request, Callback callback)
+        : client_(client), request_(std::move(request)), callback_(std::move(callback)) {}
+    ~Exchange() override { drop(); }
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
+    void start(const std::string& address, Duration timeout) {
+        timeout_ = timeout;
+        connection_ = client_.takeConnection(address);
+        if (connection_ == nullptr || !isAllowedMethod(request_.method)) {
+            drop();
+            finishLater({AttemptOutcome::kNotSent, {}, "bad-address-or-method"});
+            return;
+        }
+        connection_->setListener(this);
+        if (connection_->isConnected()) {
+            sendRequest();
+            return;
+        }
+        if (!connection_->connect()) {
+            drop();
+            finishLater({AttemptOutcome::kNotSent, {}, "connect-failed"});
+            return;
+        }
+        timer_ = client_.loop_.startTimer(std::min(timeout, kConnectTimeout), [this] { onTimeout(); });
+    }
 
-constexpr std::size_t kIdlePerAddress = 64;
+private:
+    void onConnected() override { sendRequest(); }
 
-bool mayHaveBody(const std::string& method, int status) {
-    return method != "HEAD" && status != 204 && status != 304 && status / 100 != 1;
-}
+    void sendRequest() {
+        is_sent_ = true;
+        connection_->write(request_);
+        timer_ = client_.loop_.startTimer(timeout_, [this] { onTimeout(); });
+    }
 
-const char* errorText(evhttp_request_error error) {
-    switch (error) {
-        case EVREQ_HTTP_TIMEOUT:
-            return "timeout";
-        case EVREQ_HTTP_EOF:
-            return "connection-closed";
-        case EVREQ_HTTP_INVALID_HEADER:
-            return "invalid-header";
-        case EVREQ_HTTP_BUFFER_ERROR:
-            return "read-or-write-error";
-        case EVREQ_HTTP_REQUEST_CANCEL:
-            return "cancelled";
-        case EVREQ_HTTP_DATA_TOO_LONG:
-            return "answer-too-large";
+    void onAnswer(HttpAnswer answer) override {
+        auto connection = std::move(connection_);
+        if (connection->isReusable()) {
+            client_.keepConnection(std::move(connection));
+        } else {
+            client_.dropLater(std::move(connection));
+        }
+        finish({AttemptOutcome::kAnswered, std::move(answer), ""});
     }
-    return "unknown-error";
-}
 
-}  // namespace
+    void onBroken(const std::string& reason) override {
+        drop();
+        finishLater(withoutAnswer(is_sent_ ? reason : "connect-failed"));
+    }
 
-struct HttpClient::Connection {
-    std::string address;
-    evhttp_connection* handle = nullptr;
-    bool has_output = false;  ///< Something of the current request went to the socket's buffer.
-    TimePoint idle_since{};
-    std::size_t* open_count = nullptr;
-    Exchange* exchange = nullptr;  ///< Null once the attempt has ended or was cancelled.
+    void onTimeout() {
+        drop();
+        finish(withoutAnswer("timeout"));
+    }
 
-    Connection() = default;
-    ~Connection() {
-        if (handle != nullptr) {
-            evhttp_connection_free(handle);
-            --*open_count;
-        }
+    [[nodiscard]] AttemptResult withoutAnswer(std::string reason) const {
+        return {is_sent_ ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent, {}, std::move(reason)};
     }
-    Connection(const Connection&) = delete;
-    Connection& operator=(const Connection&) = delete;
-};
 
-/// One attempt: owns its connection while it runs.
-class HttpClient::Exchange : public Attempt {
-public:
-    Exchange(HttpClient& client, std::string method, Callback callback)
-        : client_(client), method_(std::move(method)), callback_(std::move(callback)) {}
-    ~Exchange() override {
+    void drop() {
         if (connection_ != nullptr) {
-            // Also ends evhttp's request, without calling back.
-            drop();
+            connection_->setListener(nullptr);
+            client_.dropLater(std::move(connection_));
         }
     }
-    Exchange(const Exchange&) = delete;
-    Exchange& operator=(const Exchange&) = delete;
 
-    void start(const std::string& address, const HttpRequest& request, Duration timeout);
+    /// Failures may come from inside `send`; the callback must not.
+    void finishLater(AttemptResult result) {
+        timer_ = client_.loop_.startTimer(Duration::zero(),
+                                          [this, result = std::move(result)]() mutable { finish(std::move(result)); });
+    }
 
-private:
-    // Their argument is the connection, which lives as long as evhttp's request.
-    static void onDone(evhttp_request* request, void* connection);
-    static void onError(evhttp_request_error error, void* connection);
-    void drop();
-    void onConnectTimeout(Duration timeout);
-    void onTimeout();
-    void finishLater(AttemptResult result);
-    void finish(AttemptResult result);
-    [[nodiscard]] AttemptResult resultWithoutAnswer(std::string reason) const;
-    AttemptResult readAnswer(evhttp_request* request);
+    /// The callback may destroy this attempt.
+    void finish(AttemptResult result) {
+        timer_.reset();
+        const auto callback = std::exchange(callback_, nullptr);
+        callback(std::move(result));
+    }
 
     HttpClient& client_;
-    std::string method_;
+    HttpRequest request_;
     Callback callback_;
-    std::unique_ptr<Connection> connection_;
-    std::string error_;
+    Duration timeout_{};
+    std::unique_ptr<ClientConnection> connection_;
+    bool is_sent_ = false;
     TimerHandle timer_;
 };
 
-HttpClient::HttpClient(EventLoop& loop, HttpLimits limits) : loop_(loop), limits_(limits) {}
+HttpClient::HttpClient(EventLoop& loop, HttpLimits limits, ClientOptions options)
+    : loop_(loop), limits_(limits), options_(options) {}
 
 HttpClient::~HttpClient() = default;
 
 AttemptHandle HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, Callback callback) {
-    auto exchange = std::make_unique<Exchange>(*this, request.method, std::move(callback));
-    exchange->start(address, request, timeout);
+    auto exchange = std::make_unique<Exchange>(*this, std::move(request), std::move(callback));
+    exchange->start(address, timeout);
     return exchange;
 }
 
-// Connections --------------------------------------------------------------
-
-std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection(const std::string& address) {
+/// The connection that was idle last comes first, so that the others can grow old and end.
+std::unique_ptr<ClientConnection> HttpClient::takeConnection(const std::string& address) {
     auto& idle = idle_[address];
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (loop_.now() - connection->idle_since < kLongestIdle) {
-            connection->has_output = false;
+        if (connection->isFresh(loop_.now())) {
             return connection;
         }
-        idle.clear();  // The others have been idle for longer still.
-    }
-    const auto target = parseSocketAddress(address);
-    if (!target) {
-        return nullptr;
+        dropLater(std::move(connection));
     }
-    auto connection = std::make_unique<Connection>();
-    connection->address = address;
-    connection->handle = evhttp_connection_base_new(loop_.base(), nullptr, target->ip.c_str(), target->port);
-    connection->open_count = &open_connections_;
-    ++open_connections_;
-    evhttp_connection_set_retries(connection->handle, 0);
-    evhttp_connection_set_max_headers_size(connection->handle, static_cast<ev_ssize_t>(limits_.header_bytes));
-    evhttp_connection_set_max_body_size(connection->handle, static_cast<ev_ssize_t>(limits_.body_bytes));
-    auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection->handle));
-    evbuffer_add_cb(
-        output,
-        [](evbuffer*, const evbuffer_cb_info* info, void* argument) {
-            if (info->n_added > 0) {
-                static_cast<Connection*>(argument)->has_output = true;
-            }
-        },
-        connection.get());
-    return connection;
+    return std::make_unique<ClientConnection>(*this, address);
 }
 
-void HttpClient::keepConnection(std::unique_ptr<Connection> connection) {
-    auto& idle = idle_[connection->address];
-    if (idle.size() >= kIdlePerAddress) {
+void HttpClient::keepConnection(std::unique_ptr<ClientConnection> connection) {
+    auto& idle = idle_[connection->address()];
+    if (idle.size() >= options_.idle_per_address) {
         dropLater(std::move(connection));
         return;
     }
-    connection->idle_since = loop_.now();
+    connection->markIdle(loop_.now());
     idle.push_back(std::move(connection));
 }
 
-/// evhttp still uses a connection after it has called back, so it is freed from the loop.
-void HttpClient::dropLater(std::unique_ptr<Connection> connection) {
-    dropped_.push_back(std::move(connection));
-    if (dropped_.size() == 1) {
-        drop_timer_ = loop_.startTimer(Duration::zero(), [this] { dropped_.clear(); });
-    }
-}
-
-// Exchange -----------------------------------------------------------------
-
-void HttpClient::Exchange::start(const std::string& address, const HttpRequest& request, Duration timeout) {
-    connection_ = client_.takeConnection(address);
-    const auto method = methodFromName(request.method);
-    if (connection_ == nullptr || !method) {
-        finishLater({AttemptOutcome::kNotSent, {}, "bad-address-or-method"});
-        return;
-    }
-    connection_->exchange = this;
-    auto* out = evhttp_request_new(&Exchange::onDone, connection_.get());
-    evhttp_request_set_error_cb(out, &Exchange::onError);
-    auto* headers = evhttp_request_get_output_headers(out);
-    writeHeaders(request.headers, headers);
-    if (!request.headers.has("host")) {
-        evhttp_add_header(headers, "Host", address.c_str());
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(), request.body.size());
-    timer_ =
-        client_.loop_.startTimer(std::min(timeout, kConnectTimeout), [this, timeout] { onConnectTimeout(timeout); });
-    if (evhttp_make_request(connection_->handle, out, *method, request.path.c_str()) != 0) {
-        evhttp_request_free(out);
-        drop();
-        finishLater({AttemptOutcome::kNotSent, {}, "connect-failed"});
-    }
-}
-
-void HttpClient::Exchange::drop() {
-    connection_->exchange = nullptr;
-    client_.dropLater(std::move(connection_));
-}
-
-void HttpClient::Exchange::onError(evhttp_request_error error, void* connection) {
-    if (auto* exchange = static_cast<Connection*>(connection)->exchange) {
-        exchange->error_ = errorText(error);
-    }
-}
-
-void HttpClient::Exchange::onDone(evhttp_request* request, void* connection) {
-    auto* exchange = static_cast<Connection*>(connection)->exchange;
-    if (exchange == nullptr) {
-        return;
-    }
-    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-        auto result = exchange->resultWithoutAnswer(exchange->error_.empty() ? "connect-failed" : exchange->error_);
-        exchange->drop();
-        exchange->finishLater(std::move(result));
-        return;
-    }
-    exchange->finish(exchange->readAnswer(request));
-}
-
-AttemptResult HttpClient::Exchange::resultWithoutAnswer(std::string reason) const {
-    const bool is_sent = connection_ != nullptr && connection_->has_output;
-    return {is_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent, {}, std::move(reason)};
-}
-
-AttemptResult HttpClient::Exchange::readAnswer(evhttp_request* request) {
-    AttemptResult result;
-    result.answer.status = evhttp_request_get_response_code(request);
-    result.answer.headers = readHeaders(evhttp_request_get_input_headers(request));
-    const bool is_marked = result.answer.headers.has("content-length") ||
-                           sameHeaderName(result.answer.headers.get("transfer-encoding"), "chunked");
-    if (!is_marked && mayHaveBody(method_, result.answer.status)) {
-        drop();
-        return {AttemptOutcome::kUnknown, {}, "answer-without-length"};
+void HttpClient::onIdleEnded(ClientConnection* connection) {
+    auto& idle = idle_[connection->address()];
+    const auto found =
+        std::find_if(idle.begin(), idle.end(), [&](const auto& candidate) { return candidate.get() == connection; });
+    if (found != idle.end()) {
+        dropLater(std::move(*found));
+        idle.erase(found);
     }
-    result.outcome = AttemptOutcome::kAnswered;
-    result.answer.body = readBody(evhttp_request_get_input_buffer(request));
-    connection_->exchange = nullptr;
-    client_.keepConnection(std::move(connection_));
-    return result;
 }
 
-/// Something has gone out by now, or never will.
-void HttpClient::Exchange::onConnectTimeout(Duration timeout) {
-    if (!connection_->has_output || timeout <= kConnectTimeout) {
-        onTimeout();
-        return;
+/// A connection may still be on the stack when it is dropped, so it is freed from the loop.
+void HttpClient::dropLater(std::unique_ptr<ClientConnection> connection) {
+    dropped_.push_back(std::move(connection));
+    if (dropped_.size() == 1) {
+        drop_timer_ = loop_.startTimer(Duration::zero(), [this] { dropped_.clear(); });
     }
-    timer_ = client_.loop_.startTimer(timeout - kConnectTimeout, [this] { onTimeout(); });
-}
-
-void HttpClient::Exchange::onTimeout() {
-    auto result = resultWithoutAnswer("timeout");
-    drop();
-    finish(std::move(result));
-}
-
-/// Failures may come from inside `send`; the callback must not.
-void HttpClient::Exchange::finishLater(AttemptResult result) {
-    timer_ = client_.loop_.startTimer(Duration::zero(),
-                                      [this, result = std::move(result)]() mutable { finish(std::move(result)); });
-}
-
-/// The callback may destroy this attempt.
-void HttpClient::Exchange::finish(AttemptResult result) {
-    timer_.reset();
-    const auto callback = std::exchange(callback_, nullptr);
-    callback(std::move(result));
 }
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -1,5 +1,5 @@
 /// @file
-/// HTTP requests to back ends and to the platform, on evhttp.
+/// HTTP requests to back ends, other nodes and the platform, on libevent's buffered streams.
 #pragma once
 
 #include <map>
@@ -8,42 +8,57 @@
 #include <vector>
 
 #include "src/adapters/event_loop.h"
-#include "src/adapters/evhttp_codec.h"
+#include "src/adapters/http_parser.h"
 #include "src/ports/back_end_port.h"
 
 namespace dewcrank::adapters {
 
+class ClientConnection;
+
+/// What a client takes as an answer, and how many connections it keeps.
+struct ClientOptions {
+    /// Take an answer that is delimited by the clean end of its connection as whole. A reset
+    /// always spoils it.
+    bool accepts_close_delimited = false;
+    std::size_t idle_per_address = 64;
+};
+
 /// Sends each request once on a connection of its own for that time; idle connections are
 /// kept and used again.
 ///
-/// A request counts as not sent only if nothing of it was handed to a connected socket.
-/// An answer counts as whole only if its end is marked: by length, by chunks, or because
-/// its status has no body. An answer that ends with the connection is not told apart from
-/// one that was cut off, and is refused.
+/// A request counts as not sent only if nothing of it was handed to a connected socket. An
+/// answer counts as whole only if its end is marked: by length, by chunks, because its status
+/// has no body, or (if the options say so) by the clean end of the connection. Bytes that come
+/// on an idle connection, or behind an answer, end that connection.
 class HttpClient : public BackEndPort {
 public:
-    HttpClient(EventLoop& loop, HttpLimits limits);
+    HttpClient(EventLoop& loop, HttpLimits limits, ClientOptions options = {});
     ~HttpClient() override;
 
     [[nodiscard]] AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout,
                                      Callback callback) override;
     [[nodiscard]] std::size_t openConnections() const { return open_connections_; }
+    /// Connections that were ever begun.
+    [[nodiscard]] std::uint64_t connectionsBegun() const { return connections_begun_; }
 
 private:
-    struct Connection;
+    friend class ClientConnection;
     class Exchange;
     friend class Exchange;
 
-    std::unique_ptr<Connection> takeConnection(const std::string& address);
-    void keepConnection(std::unique_ptr<Connection> connection);
-    void dropLater(std::unique_ptr<Connection> connection);
+    std::unique_ptr<ClientConnection> takeConnection(const std::string& address);
+    void keepConnection(std::unique_ptr<ClientConnection> connection);
+    void onIdleEnded(ClientConnection* connection);
+    void dropLater(std::unique_ptr<ClientConnection> connection);
 
     EventLoop& loop_;
     HttpLimits limits_;
-    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
-    std::vector<std::unique_ptr<Connection>> dropped_;
+    ClientOptions options_;
+    std::map<std::string, std::vector<std::unique_ptr<ClientConnection>>> idle_;
+    std::vector<std::unique_ptr<ClientConnection>> dropped_;
     TimerHandle drop_timer_;
     std::size_t open_connections_ = 0;
+    std::uint64_t connections_begun_ = 0;
 };
 
 }  // namespace dewcrank::adapters
--- /dev/null
+++ b/src/adapters/http_parser.cc
@@ -0,0 +1,271 @@
+#include "src/adapters/http_parser.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank::adapters {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> kAllowedMethods = {"GET", "POST", "HEAD", "PUT", "DELETE", "PATCH"};
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr unsigned char kFirstVisible = 0x21;
+constexpr unsigned char kDelete = 0x7f;
+
+/// RFC 9110, section 5.6.2.
+bool isTokenCharacter(char character) {
+    return std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+           std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+}
+
+bool isToken(std::string_view text) {
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+bool isVisible(char character) {
+    const auto value = static_cast<unsigned char>(character);
+    return value >= kFirstVisible && value != kDelete;
+}
+
+bool isValueCharacter(char character) {
+    return isVisible(character) || character == ' ' || character == '\t';
+}
+
+bool isFramingHeader(std::string_view name) {
+    return sameHeaderName(name, "content-length") || sameHeaderName(name, "transfer-encoding") ||
+           sameHeaderName(name, "connection") || sameHeaderName(name, "keep-alive");
+}
+
+/// True if the bytes begin with a request line whose only fault may be its method.
+bool looksLikeRequestLine(std::string_view bytes) {
+    const auto line = bytes.substr(0, bytes.find('\r'));
+    const auto method_end = line.find(' ');
+    const auto target_end = line.rfind(' ');
+    return method_end != std::string_view::npos && target_end > method_end && isToken(line.substr(0, method_end)) &&
+           line.substr(target_end + 1).starts_with("HTTP/1.");
+}
+
+}  // namespace
+
+bool isAllowedMethod(std::string_view method) {
+    return std::find(kAllowedMethods.begin(), kAllowedMethods.end(), method) != kAllowedMethods.end();
+}
+
+HttpMessageParser::HttpMessageParser(Kind kind, HttpLimits limits)
+    : type_(kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE), limits_(limits) {
+    reset();
+}
+
+http_parser_settings HttpMessageParser::makeSettings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = [](http_parser* parser) {
+        self(parser)->has_started_ = true;
+        return 0;
+    };
+    settings.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+        self(parser)->url_.append(at, length);
+        return 0;
+    };
+    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+        return self(parser)->onHeaderField(at, length);
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+        return self(parser)->onHeaderValue(at, length);
+    };
+    settings.on_headers_complete = [](http_parser* parser) { return self(parser)->onHeadersComplete(); };
+    settings.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+        return self(parser)->onBody(at, length);
+    };
+    settings.on_message_complete = [](http_parser* parser) { return self(parser)->onMessageComplete(); };
+    return settings;
+}
+
+void HttpMessageParser::reset(bool expects_no_body) {
+    http_parser_init(&parser_, type_);
+    parser_.data = this;
+    expects_no_body_ = expects_no_body;
+    has_started_ = false;
+    has_whole_head_ = false;
+    is_complete_ = false;
+    ends_with_connection_ = false;
+    keeps_alive_ = false;
+    failure_ = State::kIncomplete;
+    head_bytes_ = 0;
+    length_headers_ = 0;
+    in_value_ = false;
+    url_.clear();
+    field_.clear();
+    value_.clear();
+    headers_ = Headers();
+    body_.clear();
+}
+
+HttpMessageParser::State HttpMessageParser::feed(const char* data, std::size_t size, std::size_t* consumed) {
+    static const http_parser_settings kSettings = makeSettings();
+    chunk_start_ = data;
+    value_end_ = nullptr;
+    const bool head_was_open = !has_whole_head_;
+    *consumed = http_parser_execute(&parser_, &kSettings, data, size);
+    if (is_complete_) {
+        return State::kComplete;
+    }
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+        return failure_ != State::kIncomplete ? failure_ : stateOfError(data, size);
+    }
+    if (head_was_open) {
+        head_bytes_ += *consumed;
+        if (!has_whole_head_ && head_bytes_ > limits_.header_bytes) {
+            return State::kMalformed;
+        }
+    }
+    return State::kIncomplete;
+}
+
+HttpMessageParser::State HttpMessageParser::finish() {
+    std::size_t consumed = 0;
+    return ends_with_connection_ ? feed("", 0, &consumed) : State::kMalformed;
+}
+
+HttpMessageParser::State HttpMessageParser::stateOfError(const char* data, std::size_t size) const {
+    const bool is_method = HTTP_PARSER_ERRNO(&parser_) == HPE_INVALID_METHOD;
+    return is_method && looksLikeRequestLine({data, size}) ? State::kUnknownMethod : State::kMalformed;
+}
+
+int HttpMessageParser::fail(State state) {
+    failure_ = state;
+    return -1;
+}
+
+int HttpMessageParser::onHeaderField(const char* at, std::size_t length) {
+    if (in_value_) {
+        flushHeader();
+    }
+    field_.append(at, length);
+    return 0;
+}
+
+/// A value that goes on at another place than where it ended has been folded over lines.
+int HttpMessageParser::onHeaderValue(const char* at, std::size_t length) {
+    if (in_value_ && at != value_end_ && at != chunk_start_) {
+        return fail(State::kMalformed);
+    }
+    in_value_ = true;
+    value_.append(at, length);
+    value_end_ = at + length;
+    return 0;
+}
+
+void HttpMessageParser::flushHeader() {
+    if (sameHeaderName(field_, "content-length") || sameHeaderName(field_, "transfer-encoding")) {
+        ++length_headers_;
+    }
+    headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
+    in_value_ = false;
+}
+
+int HttpMessageParser::onHeadersComplete() {
+    if (!field_.empty()) {
+        flushHeader();
+    }
+    has_whole_head_ = true;
+    const auto& lines = headers_.lines();
+    const bool is_clean = std::all_of(lines.begin(), lines.end(), [](const Header& line) {
+        return isToken(line.name) && std::all_of(line.value.begin(), line.value.end(), isValueCharacter);
+    });
+    const auto encoding = headers_.get("transfer-encoding");
+    if (!is_clean || length_headers_ > 1 || (!encoding.empty() && !sameHeaderName(encoding, "chunked"))) {
+        return fail(State::kMalformed);
+    }
+    std::size_t head_size = url_.size();
+    for (const auto& line : lines) {
+        head_size += line.name.size() + line.value.size();
+    }
+    if (head_size > limits_.header_bytes) {
+        return fail(State::kMalformed);
+    }
+    constexpr auto kNoLength = std::numeric_limits<std::uint64_t>::max();
+    const bool has_length = (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != kNoLength;
+    if (parser_.content_length != kNoLength && parser_.content_length > limits_.body_bytes) {
+        return fail(State::kTooLarge);
+    }
+    const auto status = parser_.status_code;
+    const bool has_body =
+        !expects_no_body_ && status >= kFirstFinalStatus && status != kNoContent && status != kNotModified;
+    ends_with_connection_ = type_ == HTTP_RESPONSE && has_body && !has_length;
+    return expects_no_body_ ? 1 : 0;
+}
+
+int HttpMessageParser::onBody(const char* at, std::size_t length) {
+    if (body_.size() + length > limits_.body_bytes) {
+        return fail(State::kTooLarge);
+    }
+    body_.append(at, length);
+    return 0;
+}
+
+int HttpMessageParser::onMessageComplete() {
+    if (type_ == HTTP_RESPONSE && parser_.status_code < kFirstFinalStatus) {
+        const auto no_body = expects_no_body_;
+        const auto parser = parser_;
+        reset(no_body);
+        parser_ = parser;
+        return 0;  // An interim answer: the final one follows.
+    }
+    if (!field_.empty()) {
+        flushHeader();  // Of a trailer, which is dropped with the framing.
+    }
+    is_complete_ = true;
+    keeps_alive_ = http_should_keep_alive(&parser_) != 0;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+bool HttpMessageParser::expectsContinue() const {
+    return sameHeaderName(headers_.get("expect"), "100-continue");
+}
+
+HttpRequest HttpMessageParser::takeRequest() {
+    HttpRequest request;
+    request.method = http_method_str(static_cast<http_method>(parser_.method));
+    request.path = std::move(url_);
+    request.headers = std::move(headers_);
+    request.body = std::move(body_);
+    return request;
+}
+
+HttpAnswer HttpMessageParser::takeAnswer() {
+    HttpAnswer answer;
+    answer.status = static_cast<int>(parser_.status_code);
+    answer.headers = std::move(headers_);
+    answer.body = std::move(body_);
+    return answer;
+}
+
+std::string writeHead(const std::string& first_line, const Headers& headers, long long body_size, bool closes) {
+    std::string head = first_line;
+    head += "\r\n";
+    for (const auto& [name, value] : headers.lines()) {
+        const bool is_safe = isToken(name) && std::all_of(value.begin(), value.end(), isValueCharacter);
+        if (is_safe && !isFramingHeader(name)) {
+            head.append(name).append(": ").append(value).append("\r\n");
+        }
+    }
+    if (closes) {
+        head += "Connection: close\r\n";
+    }
+    if (body_size >= 0) {
+        head += "Content-Length: " + std::to_string(body_size) + "\r\n";
+    }
+    head += "\r\n";
+    return head;
+}
+
+}  // namespace dewcrank::adapters
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -1,56 +1,62 @@
 /// @file
-/// An HTTP listener on evhttp.
+/// An HTTP listener on libevent's buffered streams. docs/adr/0010 says why not evhttp.
 #pragma once
 
 #include <event2/event.h>
-#include <event2/http.h>
+#include <event2/listener.h>
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "src/adapters/event_loop.h"
-#include "src/adapters/evhttp_codec.h"
+#include "src/adapters/http_parser.h"
 #include "src/adapters/socket_address.h"
 #include "src/base/error.h"
 #include "src/base/http_message.h"
 
 namespace dewcrank::adapters {
 
+class ServerConnection;
+
 /// One request at the listener that waits for its answer.
 ///
 /// `reply` may be called once; later calls are ignored, as is one after the caller has left.
 class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
 public:
-    /// @param closes the connection is closed after the answer.
-    ServerExchange(event_base* base, evhttp_request* request, const bool& closes);
-    ~ServerExchange();
+    ServerExchange(ServerConnection* connection, std::string method, bool keeps_alive);
     ServerExchange(const ServerExchange&) = delete;
     ServerExchange& operator=(const ServerExchange&) = delete;
 
     void reply(const HttpAnswer& answer);
-    /// Calls back once if the caller closes its connection before the answer. The watch
-    /// keeps this object alive until then or until the answer.
+    /// Calls back once if the caller closes its connection before the answer.
     void onCallerLeft(std::function<void()> callback);
     /// Closes the connection without any answer, as a failing server would.
     void abort();
 
 private:
-    static void onClosed(evutil_socket_t, short, void* self);
-    void stopWatching();
-
-    event_base* base_;
-    const bool& closes_;  ///< Of the server: read when the answer goes out.
-    evhttp_request* request_;
-    event* close_watch_ = nullptr;
+    friend class ServerConnection;
+    ServerConnection* connection_;  ///< Null once answered or closed.
+    std::string method_;
+    bool keeps_alive_;
+    bool is_answered_ = false;
+    HttpAnswer answer_;
     std::function<void()> caller_left_;
-    std::shared_ptr<ServerExchange> self_;
+};
+
+/// How long a caller may take.
+struct ServerTimeouts {
+    Duration header = 10s;  ///< From the first byte of a request to the end of its head.
+    Duration idle = 60s;    ///< Between requests; also between two reads of a body.
 };
 
 /// Listens on one address and hands on whole requests.
 ///
-/// evhttp itself answers malformed requests with 400, too large ones with 413, unknown
-/// methods with 501, and closes connections whose caller is slower than the time-out.
+/// Requests that come behind an unanswered one are handed on at once, and answered in their
+/// order. Malformed or ambiguously framed requests get 400 and the connection is closed, too
+/// large ones 413, unknown methods 501. A caller slower than the time-outs is closed.
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<ServerExchange>)>;
@@ -62,17 +68,31 @@
 
     /// Starts to listen. Port 0 takes a free one. @return the address in use.
     Result<SocketAddress> listen(const SocketAddress& address);
+    /// Applies to requests and connections that begin from now on.
+    void setLimits(HttpLimits limits, ServerTimeouts timeouts);
+    /// Closes each open connection after its next answer; further ones are still accepted.
+    void closeAfterAnswers() { is_closing_ = true; }
     /// Takes no further connections, and closes each open one after its next answer.
     void stopAccepting();
+    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
 
 private:
-    static void onRequest(evhttp_request* request, void* self);
+    friend class ServerConnection;
+    static void onAccept(evconnlistener* listener, evutil_socket_t descriptor, sockaddr* address, int length,
+                         void* self);
+
+    /// Destroys a closed connection from the loop: it may still be on the stack.
+    void forget(ServerConnection* connection);
 
     EventLoop& loop_;
-    evhttp* http_;
-    evhttp_bound_socket* socket_ = nullptr;
-    bool is_stopping_ = false;
+    HttpLimits limits_;
+    ServerTimeouts timeouts_;
     Handler handler_;
+    evconnlistener* listener_ = nullptr;
+    bool is_closing_ = false;
+    std::set<ServerConnection*> connections_;
+    std::vector<std::unique_ptr<ServerConnection>> closed_;
+    TimerHandle closed_timer_;
 };
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/node_settings.h
+++ b/src/adapters/node_settings.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "src/adapters/evhttp_codec.h"
+#include "src/adapters/http_parser.h"
 #include "src/adapters/socket_address.h"
 #include "src/base/error.h"
 #include "src/base/time.h"
--- /dev/null
+++ b/src/adapters/server_connection.h
@@ -0,0 +1,54 @@
+/// @file
+/// One caller's connection at an HTTP listener.
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <deque>
+#include <memory>
+
+#include "src/adapters/http_server.h"
+
+namespace dewcrank::adapters {
+
+/// Reads requests, hands them on and writes their answers in order. Destroys itself when the
+/// connection ends.
+class ServerConnection {
+public:
+    ServerConnection(HttpServer& server, evutil_socket_t descriptor);
+    ~ServerConnection();
+    ServerConnection(const ServerConnection&) = delete;
+    ServerConnection& operator=(const ServerConnection&) = delete;
+
+    /// An exchange has its answer: writes all answers that are due.
+    void onAnswered();
+    /// Closes at once; callers of open exchanges count as left. Destroyed later by the loop.
+    void close();
+
+private:
+    static void onReadable(bufferevent* stream, void* self);
+    static void onWritten(bufferevent* stream, void* self);
+    static void onEvent(bufferevent* stream, short what, void* self);
+    void readRequests();
+    void onRequest();
+    void refuse(HttpMessageParser::State state);
+    void refuseWith(int status);
+    void writeAnswer(const ServerExchange& exchange, bool closes);
+    void finishWriting();
+    void armTimeout();
+
+    HttpServer& server_;
+    bufferevent* stream_;
+    HttpMessageParser parser_;
+    std::deque<std::shared_ptr<ServerExchange>> open_;
+    TimerHandle timeout_;
+    TimerHandle reread_;
+    bool head_timer_runs_ = false;
+    bool continue_sent_ = false;
+    bool is_closed_ = false;
+    bool takes_no_more_ = false;  ///< No further request is read from this connection.
+    bool closes_when_written_ = false;
+    int pending_refusal_ = 0;  ///< Status for a request that could not be read.
+};
+
+}  // namespace dewcrank::adapters
--- a/tests/contract/http_client_test.cc
+++ b/tests/contract/http_client_test.cc
@@ -65,6 +65,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_may_end_with_its_connection_where_the_options_say_so) {
+    adapters::HttpClient lenient(loop, adapters::HttpLimits{1024, 4096}, adapters::ClientOptions{true, 4});
+    tests::RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nhello", true);
+    std::optional<AttemptResult> result;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    const auto attempt = lenient.send(server.address(), request, 5s, [&](AttemptResult ended) { result = ended; });
+    runUntil([&] { return result.has_value(); });
+    BOOST_TEST((result->outcome == AttemptOutcome::kAnswered));
+    BOOST_TEST(result->answer.body == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_spoil_the_connection) {
+    tests::RawServer server(loop, kWhole + kWhole, false);
+    BOOST_TEST((call(server.address()).outcome == AttemptOutcome::kAnswered));
+    server.setAnswer(kWhole, false);
+    BOOST_TEST(call(server.address()).answer.body == "hello");
+    BOOST_TEST(server.connections() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_connection_is_proof_that_nothing_was_sent) {
     std::string address;
     { address = tests::RawServer(loop, kWhole, false).address(); }
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -91,6 +91,24 @@
         {"length that is no number", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400", 0},
         {"unknown method", "BREW / HTTP/1.1\r\n\r\n", "501", 0},
         {"method that is not passed on", "TRACE / HTTP/1.1\r\nHost: a\r\n\r\n", "501", 0},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", "400", 0},
+        {"two lengths that differ", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+         "400", 0},
+        {"signed length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nabcde", "400", 0},
+        {"length and chunks",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400", 0},
+        {"two encodings",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400", 0},
+        {"unknown encoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "400",
+         0},
+        {"blank before the colon", "GET / HTTP/1.1\r\nHost: a\r\nB : c\r\n\r\n", "400", 0},
+        {"folded line", "GET / HTTP/1.1\r\nHost: a\r\nB: c\r\n d\r\n\r\n", "400", 0},
+        {"odd byte in a name", "GET / HTTP/1.1\r\nHost: a\r\nB(: c\r\n\r\n", "400", 0},
+        {"control byte in a value", "GET / HTTP/1.1\r\nHost: a\r\nB: c\x01\r\n\r\n", "400", 0},
+        {"lone carriage return", "GET / HTTP/1.1\r\nHost: a\rB: c\r\n\r\n", "400", 0},
+        {"chunk size that is no number", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+         "400", 0},
         {"slow caller", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "", 0},
     };
     for (const auto& entry : cases) {
@@ -112,6 +130,45 @@
     kept.front()->reply(HttpAnswer{});  // Too late: ignored.
 }
 
+BOOST_AUTO_TEST_CASE(requests_behind_each_other_are_answered_in_their_order) {
+    answers = false;
+    const int descriptor = connect();
+    const std::string requests = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE(write(descriptor, requests.data(), requests.size()) > 0);
+    runUntil([&] { return seen == 2; });
+    for (const int number : {1, 0}) {
+        HttpAnswer answer;
+        answer.status = 200;
+        answer.body = number == 0 ? "first" : "second";
+        kept[static_cast<std::size_t>(number)]->reply(answer);
+    }
+    std::string text;
+    runUntil([&] {
+        char buffer[4096];
+        const auto count = recv(descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (count > 0) {
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+        return text.find("second") != std::string::npos;
+    });
+    BOOST_TEST(text.find("first") < text.find("second"));
+    close(descriptor);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_is_noticed_behind_requests_that_wait) {
+    answers = false;
+    const int descriptor = connect();
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::string many;
+    for (int count = 0; count < 40; ++count) {
+        many += request;
+    }
+    BOOST_REQUIRE(write(descriptor, many.data(), many.size()) > 0);
+    runUntil([&] { return seen > 1; });
+    close(descriptor);
+    runUntil([&] { return callers_left == seen; });
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_server_closes_after_the_answer_and_takes_no_more) {
     answers = false;
     const int descriptor = connect();
