--- /dev/null
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -0,0 +1,170 @@
+#include "apps/sidecar/sidecar_daemon.h"
+
+#include <csignal>
+#include <random>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank {
+
+namespace {
+
+/// Answers that are still in the sockets' buffers get this long to leave.
+constexpr Duration kFlushTime = 100ms;
+/// A stopping node ends this much before the platform would kill it.
+constexpr Duration kStopMargin = 500ms;
+constexpr Duration kNodeIdle = 30s;
+constexpr Duration kInstanceIdle = 8s;
+constexpr std::size_t kLargestBody = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t kMostIdle = 128;
+const adapters::HttpLimits kWideLimits{std::size_t{64} * 1024, kLargestBody};
+
+/// Unique for each start of a process, as far as the system's clock can be trusted.
+std::uint64_t newIncarnation() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+adapters::ClientOptions nodeClient() {
+    adapters::ClientOptions options;
+    options.idle_per_address = kMostIdle;
+    options.longest_idle = kNodeIdle - 5s;
+    return options;
+}
+
+adapters::ClientOptions instanceClient(const HeaderNames& names) {
+    adapters::ClientOptions options;
+    options.accepts_close_delimited = true;
+    options.idle_per_address = kMostIdle;
+    options.longest_idle = kInstanceIdle;
+    options.echoed_header = names.request_id;
+    return options;
+}
+
+}  // namespace
+
+SidecarDaemon::SidecarDaemon(adapters::SidecarSettings settings, std::string settings_file,
+                             const PlatformFactory& platform)
+    : settings_(std::move(settings)),
+      settings_file_(std::move(settings_file)),
+      log_(""),
+      random_(std::random_device{}()),
+      nodes_(loop_, kWideLimits, nodeClient()),
+      instances_(loop_, kWideLimits, instanceClient(platform(nodes_, settings_).header_names)),
+      store_http_(loop_, kWideLimits),
+      platform_(platform(store_http_, settings_)),
+      node_(sidecar::Ports{loop_, random_, nodes_, instances_, *platform_.store, log_}, nodeSettings()),
+      callers_(loop_, kWideLimits, kNodeIdle,
+               [this](HttpRequest request, const Exchange& exchange) { onCall(std::move(request), exchange); }),
+      node_server_(
+          loop_, kWideLimits, kNodeIdle,
+          [this](HttpRequest request, const Exchange& exchange) { onNodeRequest(std::move(request), exchange); }),
+      heartbeats_(loop_, kWideLimits, kNodeIdle,
+                  [this](const HttpRequest& request, const Exchange& exchange) {
+                      exchange->reply(platform_.instance_api->handle(request, *this));
+                  }),
+      readiness_(loop_, kWideLimits, kNodeIdle,
+                 [this](const HttpRequest&, const Exchange& exchange) { onReadinessRequest(exchange); }) {
+    node_.table().signalAdopted().connect([this] { applyTableLimits(); });
+}
+
+sidecar::Settings SidecarDaemon::nodeSettings() const {
+    sidecar::Settings result;
+    result.name = settings_.name;
+    result.zone = settings_.zone;
+    result.address = settings_.nodes.text();
+    result.instance_address = settings_.instance.text();
+    result.service = settings_.service;
+    result.incarnation = newIncarnation();
+    result.header_names = platform_.header_names;
+    result.knobs.relay.repeats = settings_.repeats;
+    result.knobs.longest_stop = settings_.stop_grace - kStopMargin;
+    return result;
+}
+
+Result<void> SidecarDaemon::listen() {
+    BOOST_LEAF_CHECK(readiness_.listen(settings_.readiness));
+    BOOST_LEAF_CHECK(node_server_.listen(settings_.nodes));
+    BOOST_LEAF_CHECK(heartbeats_.listen(settings_.heartbeats));
+    BOOST_LEAF_CHECK(callers_.listen(settings_.callers));
+    return {};
+}
+
+void SidecarDaemon::run() {
+    loop_.onSignal(SIGTERM, [this] { onTerminate(); });
+    loop_.onSignal(SIGINT, [this] { onTerminate(); });
+    loop_.onSignal(SIGHUP, [this] { onReload(); });
+    log_.write(Event("node_started")
+                   .with("name", settings_.name)
+                   .with("zone", settings_.zone)
+                   .with("service", settings_.service)
+                   .with("callers", settings_.callers.text())
+                   .with("nodes", settings_.nodes.text()));
+    node_.start();
+    loop_.run();
+    log_.write(Event("node_stopped"));
+}
+
+void SidecarDaemon::onTerminate() {
+    if (node_.isStopping()) {
+        return;
+    }
+    callers_.closeAfterAnswers();
+    node_.stop([this] { flush_timer_ = loop_.startTimer(kFlushTime, [this] { loop_.stop(); }); });
+}
+
+/// Addresses and names are fixed for the life of a process; a change of them is logged and
+/// takes effect at the next start. Nothing is cut.
+void SidecarDaemon::onReload() {
+    runOrReport(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(settings, adapters::readSidecarSettings(settings_file_));
+            const bool is_same =
+                adapters::describeSidecarSettings(settings) == adapters::describeSidecarSettings(settings_);
+            log_.write(Event("settings_read").with("file", settings_file_).with("changed", is_same ? "no" : "yes"));
+            settings_ = settings;
+            return {};
+        },
+        [&](const StepError& error) {
+            log_.write(Event("settings_refused").with("file", settings_file_).with("error", error.text()));
+        });
+}
+
+void SidecarDaemon::onCall(HttpRequest request, const Exchange& exchange) {
+    watch(exchange,
+          node_.handleCall(std::move(request), [exchange](const HttpAnswer& answer) { exchange->reply(answer); }));
+}
+
+void SidecarDaemon::onNodeRequest(HttpRequest request, const Exchange& exchange) {
+    watch(exchange, node_.handleNodeRequest(std::move(request),
+                                            [exchange](const HttpAnswer& answer) { exchange->reply(answer); }));
+}
+
+void SidecarDaemon::watch(const Exchange& exchange, sidecar::SidecarNode::CallNumber number) {
+    if (number != 0) {
+        exchange->onCallerLeft([this, number] { node_.callerLeft(number); });
+    }
+}
+
+void SidecarDaemon::onReadinessRequest(const Exchange& exchange) {
+    HttpAnswer answer;
+    answer.status = node_.isReady() ? kHttpOk : kHttpServiceUnavailable;
+    exchange->reply(answer);
+}
+
+void SidecarDaemon::applyTableLimits() {
+    const auto& limits = node_.table().whole().limits();
+    adapters::HttpLimits http;
+    http.header_bytes = limits.header_bytes() > 0 ? limits.header_bytes() : kWideLimits.header_bytes;
+    http.body_bytes = limits.body_bytes() > 0 ? limits.body_bytes() : kWideLimits.body_bytes;
+    adapters::ServerTimeouts timeouts;
+    if (limits.header_timeout_ms() > 0) {
+        timeouts.header = std::chrono::milliseconds(limits.header_timeout_ms());
+    }
+    if (limits.idle_timeout_ms() > 0) {
+        timeouts.idle = std::chrono::milliseconds(limits.idle_timeout_ms());
+    }
+    callers_.setLimits(http, timeouts);
+}
+
+}  // namespace dewcrank
--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -71,8 +71,10 @@
 }
 
 void ClientConnection::write(const HttpRequest& request) {
-    parser_.reset(request.method == "HEAD");
+    expects_no_body_ = request.method == "HEAD";
+    parser_.reset(expects_no_body_);
     keeps_alive_ = false;
+    expected_echo_ = request.headers.get(client_.options_.echoed_header);
     auto headers = request.headers;
     if (!headers.has("host")) {
         headers.set("Host", address_);
@@ -86,7 +88,7 @@
 }
 
 bool ClientConnection::isReusable() const {
-    return keeps_alive_ && !is_broken_ && evbuffer_get_length(bufferevent_get_input(stream_)) == 0 &&
+    return keeps_alive_ && !is_broken_ && !has_strays_ && evbuffer_get_length(bufferevent_get_input(stream_)) == 0 &&
            evbuffer_get_length(bufferevent_get_output(stream_)) == 0;
 }
 
@@ -128,7 +130,10 @@
         evbuffer_drain(input, consumed);
         if (state == HttpMessageParser::State::kComplete) {
             complete();
-            return;
+            if (listener_ == nullptr) {
+                return;
+            }
+            continue;
         }
         if (state != HttpMessageParser::State::kIncomplete) {
             broken(state == HttpMessageParser::State::kTooLarge ? "answer-too-large" : "malformed-answer");
@@ -137,11 +142,24 @@
     }
 }
 
-/// The listener may destroy this connection.
+bool ClientConnection::isStray(const HttpAnswer& answer) const {
+    const auto echo = answer.headers.get(client_.options_.echoed_header);
+    return !expected_echo_.empty() && !echo.empty() && echo != expected_echo_;
+}
+
+/// The listener may have dropped this connection afterwards, which is then freed by the loop.
 void ClientConnection::complete() {
     keeps_alive_ = parser_.keepsAlive() && !parser_.endsWithConnection();
     auto answer = parser_.takeAnswer();
-    longest_idle_ = idleTimeOf(answer.headers, kLongestIdle);
+    if (isStray(answer)) {
+        has_strays_ = true;
+        parser_.reset(expects_no_body_);
+        if (is_broken_) {
+            broken("connection-closed");
+        }
+        return;
+    }
+    longest_idle_ = idleTimeOf(answer.headers, client_.options_.longest_idle);
     std::exchange(listener_, nullptr)->onAnswer(std::move(answer));
 }
 
--- a/src/adapters/client_connection.h
+++ b/src/adapters/client_connection.h
@@ -46,6 +46,7 @@
     static void onEvent(bufferevent* stream, short what, void* self);
     void readAnswer();
     void complete();
+    [[nodiscard]] bool isStray(const HttpAnswer& answer) const;
     void broken(const std::string& reason);
 
     HttpClient& client_;
@@ -56,8 +57,11 @@
     bool is_connected_ = false;
     bool is_broken_ = false;
     bool keeps_alive_ = false;
+    bool has_strays_ = false;  ///< Answers that belong to no open request have come.
+    bool expects_no_body_ = false;
+    std::string expected_echo_;
     TimePoint idle_since_{};
-    Duration longest_idle_ = kLongestIdle;
+    Duration longest_idle_{};
 };
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -21,6 +21,11 @@
     /// always spoils it.
     bool accepts_close_delimited = false;
     std::size_t idle_per_address = 64;
+    /// Idle connections are not used again after this time, or the peer's own if that is less.
+    Duration longest_idle = kLongestIdle;
+    /// Header that an answer echoes from its request. An answer with another value belongs to
+    /// an earlier request: it is dropped, and the next one is awaited. Empty: not checked.
+    std::string echoed_header;
 };
 
 /// Sends each request once on a connection of its own for that time; idle connections are
--- /dev/null
+++ b/src/adapters/sidecar_settings.cc
@@ -0,0 +1,199 @@
+#include "src/adapters/sidecar_settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <functional>
+#include <map>
+#include <sstream>
+
+namespace dewcrank::adapters {
+
+namespace {
+
+constexpr const char* kStep = "settings";
+constexpr double kLongestMs = 600'000;
+constexpr double kLongestSeconds = 3600;
+constexpr double kMostSlack = 1e6;
+
+/// Where a key stands, and its value as text.
+struct Placed {
+    std::string place;
+    std::string text;
+};
+
+/// How one key is read and printed.
+struct Key {
+    const char* name;
+    bool is_required;
+    std::function<Result<void>(SidecarSettings&, const Placed&)> read;
+    std::function<std::string(const SidecarSettings&)> print;
+};
+
+std::string numberText(double number) {
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
+Result<double> parseNumber(const Placed& placed, const char* key, double least, double most) {
+    double value = 0;
+    const auto& text = placed.text;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_number = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    if (!is_number || value < least || value > most) {
+        return stepError(kStep, placed.place,
+                         std::string(key) + ": '" + text + "' is not a number from " + numberText(least) + " to " +
+                             numberText(most));
+    }
+    return value;
+}
+
+Key textKey(const char* name, std::string SidecarSettings::*member) {
+    return {name, true,
+            [name, member](SidecarSettings& settings, const Placed& placed) -> Result<void> {
+                if (placed.text.empty()) {
+                    return stepError(kStep, placed.place, std::string(name) + ": must not be empty");
+                }
+                settings.*member = placed.text;
+                return {};
+            },
+            [member](const SidecarSettings& settings) { return settings.*member; }};
+}
+
+Key addressKey(const char* name, SocketAddress SidecarSettings::*member) {
+    return {name, true,
+            [name, member](SidecarSettings& settings, const Placed& placed) -> Result<void> {
+                const auto address = parseSocketAddress(placed.text);
+                if (!address) {
+                    return stepError(kStep, placed.place,
+                                     std::string(name) + ": '" + placed.text + "' is not ip:port with an IPv4 number");
+                }
+                settings.*member = *address;
+                return {};
+            },
+            [member](const SidecarSettings& settings) { return (settings.*member).text(); }};
+}
+
+Key numberKey(const char* name, double least, double most, std::function<void(SidecarSettings&, double)> set,
+              std::function<double(const SidecarSettings&)> get) {
+    return {name, false,
+            [=](SidecarSettings& settings, const Placed& placed) -> Result<void> {
+                if (placed.text.empty()) {
+                    return {};  // Left to its default.
+                }
+                BOOST_LEAF_AUTO(value, parseNumber(placed, name, least, most));
+                set(settings, value);
+                return {};
+            },
+            [get](const SidecarSettings& settings) { return numberText(get(settings)); }};
+}
+
+Duration milliseconds(double value) {
+    return Duration(static_cast<std::int64_t>(value * 1e3));
+}
+
+double inMilliseconds(Duration duration) {
+    return static_cast<double>(duration.count()) / 1e3;
+}
+
+const std::vector<Key>& keys() {
+    static const std::vector<Key> kKeys = {
+        textKey("name", &SidecarSettings::name),
+        textKey("zone", &SidecarSettings::zone),
+        textKey("service", &SidecarSettings::service),
+        addressKey("listen.callers", &SidecarSettings::callers),
+        addressKey("listen.nodes", &SidecarSettings::nodes),
+        addressKey("listen.heartbeats", &SidecarSettings::heartbeats),
+        addressKey("listen.readiness", &SidecarSettings::readiness),
+        addressKey("instance.address", &SidecarSettings::instance),
+        addressKey("store.address", &SidecarSettings::store),
+        numberKey(
+            "instance.heartbeat_ms", 1, kLongestMs,
+            [](SidecarSettings& settings, double value) { settings.heartbeat_interval = milliseconds(value); },
+            [](const SidecarSettings& settings) { return inMilliseconds(settings.heartbeat_interval); }),
+        numberKey(
+            "retries.ratio", 0, 1, [](SidecarSettings& settings, double value) { settings.repeats.ratio = value; },
+            [](const SidecarSettings& settings) { return settings.repeats.ratio; }),
+        numberKey(
+            "retries.slack", 0, kMostSlack,
+            [](SidecarSettings& settings, double value) { settings.repeats.slack = value; },
+            [](const SidecarSettings& settings) { return settings.repeats.slack; }),
+        numberKey(
+            "retries.window_s", 1, kLongestSeconds,
+            [](SidecarSettings& settings, double value) { settings.repeats.window = milliseconds(value * 1e3); },
+            [](const SidecarSettings& settings) { return inMilliseconds(settings.repeats.window) / 1e3; }),
+        numberKey(
+            "stop.grace_s", 1, kLongestSeconds,
+            [](SidecarSettings& settings, double value) { settings.stop_grace = milliseconds(value * 1e3); },
+            [](const SidecarSettings& settings) { return inMilliseconds(settings.stop_grace) / 1e3; }),
+    };
+    return kKeys;
+}
+
+std::string placeOf(const std::string& file, const toml::node& value) {
+    return file + ":" + std::to_string(value.source().begin.line);
+}
+
+Result<void> collect(const std::string& file, const std::string& prefix, const toml::table& table,
+                     std::map<std::string, Placed>& values) {
+    for (const auto& [name, value] : table) {
+        const auto key = prefix + std::string(name.str());
+        if (value.is_table()) {
+            BOOST_LEAF_CHECK(collect(file, key + ".", *value.as_table(), values));
+            continue;
+        }
+        const auto known = std::any_of(keys().begin(), keys().end(), [&](const Key& one) { return key == one.name; });
+        if (!known) {
+            return stepError(kStep, placeOf(file, value), key + ": unknown key");
+        }
+        Placed placed{placeOf(file, value), ""};
+        if (const auto text = value.value<std::string>()) {
+            placed.text = *text;
+        } else if (const auto number = value.value<double>()) {
+            placed.text = numberText(*number);
+        } else {
+            return stepError(kStep, placed.place, key + ": a text or a number is expected");
+        }
+        values[key] = placed;
+    }
+    return {};
+}
+
+}  // namespace
+
+Result<SidecarSettings> readSidecarSettings(const std::string& file) {
+    toml::table root;
+    try {
+        root = toml::parse_file(file);
+    } catch (const toml::parse_error& error) {
+        const auto line = error.source().begin.line;
+        return stepError(kStep, file + ":" + std::to_string(line), std::string(error.description()));
+    }
+    std::map<std::string, Placed> values;
+    BOOST_LEAF_CHECK(collect(file, "", root, values));
+    SidecarSettings settings;
+    for (const auto& key : keys()) {
+        const auto found = values.find(key.name);
+        if (found == values.end()) {
+            if (key.is_required) {
+                return stepError(kStep, file, std::string(key.name) + ": is missing");
+            }
+            continue;
+        }
+        BOOST_LEAF_CHECK(key.read(settings, found->second));
+    }
+    return settings;
+}
+
+std::string describeSidecarSettings(const SidecarSettings& settings) {
+    std::string text;
+    for (const auto& key : keys()) {
+        text += std::string(key.name) + " = " + key.print(settings) + "\n";
+    }
+    return text;
+}
+
+}  // namespace dewcrank::adapters
--- /dev/null
+++ b/src/adapters/sidecar_settings.h
@@ -0,0 +1,36 @@
+/// @file
+/// The settings file of a sidecar node.
+#pragma once
+
+#include <string>
+
+#include "src/adapters/socket_address.h"
+#include "src/base/error.h"
+#include "src/base/time.h"
+#include "src/retry/repeat_budget.h"
+
+namespace dewcrank::adapters {
+
+/// The settings, checked.
+struct SidecarSettings {
+    std::string name;
+    std::string zone;
+    std::string service;  ///< Of the instance beside the node.
+    SocketAddress callers;
+    SocketAddress nodes;
+    SocketAddress heartbeats;
+    SocketAddress readiness;
+    SocketAddress instance;
+    SocketAddress store;
+    Duration heartbeat_interval = 1500ms;
+    retry::RepeatBound repeats{0.1, 10, 10s};
+    Duration stop_grace = 6s;
+};
+
+/// Reads a TOML file. An unknown key, a missing one or a value out of its limits is an error
+/// that names the file, the line, the key and what is allowed.
+Result<SidecarSettings> readSidecarSettings(const std::string& file);
+/// The settings in force, a key a line.
+std::string describeSidecarSettings(const SidecarSettings& settings);
+
+}  // namespace dewcrank::adapters
--- a/src/base/http_status.h
+++ b/src/base/http_status.h
@@ -8,6 +8,7 @@
 inline constexpr int kHttpBadRequest = 400;
 inline constexpr int kHttpUnauthorized = 401;
 inline constexpr int kHttpNotFound = 404;
+inline constexpr int kHttpRequestTimeout = 408;
 inline constexpr int kHttpConflict = 409;
 inline constexpr int kHttpGone = 410;
 inline constexpr int kHttpContentTooLarge = 413;
--- /dev/null
+++ b/src/entry/entry_call.cc
@@ -0,0 +1,193 @@
+#include "src/entry/entry_call.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "src/base/http_status.h"
+#include "src/relay/relay_wire.h"
+
+namespace dewcrank::entry {
+
+namespace {
+
+/// Ranks: the row's priority, and within it requests that were sent before first.
+std::uint32_t rankOf(const wire::Route& route) {
+    return route.priority();
+}
+
+std::string secondsText(Duration duration) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1e6);
+    return text;
+}
+
+}  // namespace
+
+EntryCall::EntryCall(EntryServices& services, EntryPlan plan, ReplyCallback reply, EndCallback end)
+    : services_(services), plan_(std::move(plan)), reply_(std::move(reply)), end_(std::move(end)) {}
+
+EntryCall::~EntryCall() {
+    stopAttempt();
+}
+
+void EntryCall::start() {
+    deadline_timer_ = services_.clock.startTimer(remaining(), [this] { onDeadline(); });
+    sendToNext();
+}
+
+void EntryCall::sendToNext() {
+    if (remaining() < services_.knobs.least_remaining) {
+        giveUp("deadline", may_have_run_);
+        return;
+    }
+    const auto target = services_.selector.choose(plan_.service, tried_);
+    if (target.node.empty()) {
+        giveUp(tried_.empty() ? "no-instance" : "no-other-instance", false);
+        return;
+    }
+    sendTo(target);
+}
+
+relay::RelayRequest EntryCall::relayRequest(const RelayTarget& target) const {
+    const auto objective = std::chrono::milliseconds(plan_.route.target_latency_ms());
+    const auto share = std::chrono::duration_cast<Duration>(objective * services_.knobs.longest_wait_share);
+    relay::RelayRequest request;
+    request.request = plan_.request;
+    request.instance = target.instance;
+    request.is_repeat = offered_ > 0;
+    request.rank = rankOf(plan_.route);
+    request.deadline = plan_.deadline - services_.knobs.relay_margin;
+    request.longest_wait = share;
+    return request;
+}
+
+void EntryCall::sendTo(const RelayTarget& target) {
+    tried_.insert(target.node);
+    relay_ = target.node;
+    services_.selector.onSent(relay_);
+    auto request = relayRequest(target);
+    if (target.node == services_.directory.self().name()) {
+        own_ = services_.own_relay.start(std::move(request),
+                                         [this](relay::RelayResult result) { onResult(std::move(result)); });
+        return;
+    }
+    const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
+    attempt_ =
+        services_.nodes.send(target.address, relay::toHttp(request, self, services_.clock.now()), remaining() + 1s,
+                             [this](AttemptResult result) { onRelayAnswer(std::move(result)); });
+}
+
+void EntryCall::onRelayAnswer(AttemptResult result) {
+    if (result.outcome == AttemptOutcome::kAnswered) {
+        services_.directory.onReached(relay_);
+        services_.gossip.onTableVersionSeen(relay_, relay::peerOf(result.answer.headers).table_version);
+        onResult(relay::fromHttp(std::move(result.answer)));
+        return;
+    }
+    const auto pause = services_.directory.onUnreachable(relay_);
+    services_.log.write(Event("relay_failed")
+                            .with("request", plan_.request.headers.get(services_.names.request_id))
+                            .with("peer", relay_)
+                            .with("reason", result.reason)
+                            .with("avoided_ms", toMilliseconds(pause)));
+    relay::RelayResult lost;
+    const bool was_sent = result.outcome == AttemptOutcome::kUnknown;
+    lost.outcome = was_sent ? relay::RelayOutcome::kUnknown : relay::RelayOutcome::kNotRun;
+    lost.reason = was_sent ? relay::RelayReason::kRelayLost : relay::RelayReason::kNotConnected;
+    lost.was_offered = was_sent;
+    onResult(std::move(lost));
+}
+
+void EntryCall::onResult(relay::RelayResult result) {
+    own_ = 0;
+    const auto ended = std::exchange(attempt_, nullptr);
+    const auto relay = std::exchange(relay_, "");
+    services_.selector.onEnded(relay);
+    if (result.has_load) {
+        services_.selector.onLoad(relay, result.load);
+    }
+    offered_ += result.was_offered ? 1 : 0;
+    switch (result.outcome) {
+        case relay::RelayOutcome::kAnswered:
+            finish(std::move(result.answer), EntryEnd::kAnswered);
+            return;
+        case relay::RelayOutcome::kNotRun:
+            onNotRun(result);
+            return;
+        case relay::RelayOutcome::kUnknown:
+            onUnknown();
+    }
+}
+
+void EntryCall::onNotRun(const relay::RelayResult& result) {
+    const bool is_final = result.reason == relay::RelayReason::kRepeatBudget ||
+                          result.reason == relay::RelayReason::kDeadline ||
+                          ++refusals_ >= services_.knobs.most_refusals || offered_ >= plan_.route.max_attempts();
+    if (is_final) {
+        giveUp(relay::reasonText(result.reason), false);
+        return;
+    }
+    sendToNext();
+}
+
+void EntryCall::onUnknown() {
+    may_have_run_ = true;
+    if (!plan_.route.is_repeatable() || offered_ >= plan_.route.max_attempts()) {
+        giveUp("no-whole-answer", false);
+        return;
+    }
+    sendToNext();
+}
+
+void EntryCall::onDeadline() {
+    may_have_run_ = may_have_run_ || !relay_.empty();
+    giveUp("timeout", true);
+}
+
+void EntryCall::stopAttempt() {
+    if (own_ != 0) {
+        services_.own_relay.cancel(std::exchange(own_, 0));
+    }
+    attempt_.reset();
+    if (!relay_.empty()) {
+        services_.selector.onEnded(std::exchange(relay_, ""));
+    }
+}
+
+void EntryCall::giveUp(const char* reason, bool is_timeout) {
+    stopAttempt();
+    HttpAnswer answer;
+    answer.headers.set("Content-Type", "text/plain");
+    answer.body = std::string(reason) + "\n";
+    if (may_have_run_) {
+        answer.status = is_timeout ? kHttpGatewayTimeout : kHttpBadGateway;
+    } else {
+        answer.status = kHttpServiceUnavailable;
+        const auto& knobs = services_.knobs;
+        const auto spread = static_cast<std::uint64_t>((knobs.most_retry_after - knobs.least_retry_after).count());
+        const auto after =
+            knobs.least_retry_after + Duration(static_cast<std::int64_t>(services_.random.below(spread)));
+        answer.headers.set("Retry-After", secondsText(after));
+    }
+    services_.log.write(Event("request_given_up")
+                            .with("request", plan_.request.headers.get(services_.names.request_id))
+                            .with("route", plan_.route.name())
+                            .with("service", plan_.service)
+                            .with("reason", reason)
+                            .with("status", answer.status)
+                            .with("offered", offered_)
+                            .with("refusals", refusals_)
+                            .with("remaining_ms", toMilliseconds(remaining()))
+                            .with("table", services_.table.version()));
+    finish(std::move(answer), may_have_run_ ? EntryEnd::kUnknown : EntryEnd::kRefused);
+}
+
+/// The end callback may not destroy this call before it returns.
+void EntryCall::finish(HttpAnswer answer, EntryEnd end) {
+    deadline_timer_.reset();
+    reply_(std::move(answer));
+    end_(end);
+}
+
+}  // namespace dewcrank::entry
--- /dev/null
+++ b/src/entry/entry_call.h
@@ -0,0 +1,109 @@
+/// @file
+/// One caller's request at its entry node, from its route to its one answer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "src/base/header_names.h"
+#include "src/base/http_message.h"
+#include "src/entry/relay_selector.h"
+#include "src/fleet/gossip.h"
+#include "src/policy/route_table.h"
+#include "src/ports/back_end_port.h"
+#include "src/ports/clock.h"
+#include "src/ports/event_log.h"
+#include "src/ports/random_source.h"
+#include "src/relay/relay_service.h"
+
+namespace dewcrank::entry {
+
+/// Constants of calls at their entry.
+struct EntryKnobs {
+    /// A request waits in a relay's queue for this share of its latency objective at most.
+    double longest_wait_share = 0.25;
+    /// Relays that may refuse one request before it is refused.
+    std::size_t most_refusals = 3;
+    /// When a refused caller may come back: uniform between these.
+    Duration least_retry_after = 150ms;
+    Duration most_retry_after = 500ms;
+    /// Less time than this left: no further attempt.
+    Duration least_remaining = 10ms;
+    /// A relay answers this much before the entry gives up, so that its word is heard.
+    Duration relay_margin = 20ms;
+};
+
+/// What calls use of their node. Outlives every call.
+struct EntryServices {
+    Clock& clock;
+    RandomSource& random;
+    EventLog& log;
+    BackEndPort& nodes;
+    RelaySelector& selector;
+    relay::RelayService& own_relay;
+    fleet::NodeDirectory& directory;
+    fleet::Gossip& gossip;
+    const policy::RouteTable& table;
+    HeaderNames names;
+    EntryKnobs knobs;
+};
+
+/// How a call ended at its entry.
+enum class EntryEnd { kAnswered, kRefused, kUnknown };
+
+/// A call that has been matched to a route.
+struct EntryPlan {
+    HttpRequest request;  ///< Without what concerns the caller's connection only.
+    wire::Route route;
+    std::string service;
+    TimePoint deadline{};
+};
+
+/// State machine of one call: choose a relay, send, judge; again at another relay while the
+/// request has provably not run, or may run twice and budget and attempts allow it.
+///
+/// Exactly one answer is given, at once when it is known: the instance's own; 503 with a time
+/// to come back if the request has provably not run; 502 or 504 if that is not known.
+class EntryCall {
+public:
+    using ReplyCallback = std::function<void(HttpAnswer)>;
+    using EndCallback = std::function<void(EntryEnd)>;
+
+    EntryCall(EntryServices& services, EntryPlan plan, ReplyCallback reply, EndCallback end);
+    ~EntryCall();
+    EntryCall(const EntryCall&) = delete;
+    EntryCall& operator=(const EntryCall&) = delete;
+
+    void start();
+
+private:
+    void sendToNext();
+    void sendTo(const RelayTarget& target);
+    [[nodiscard]] relay::RelayRequest relayRequest(const RelayTarget& target) const;
+    void onRelayAnswer(AttemptResult result);
+    void onResult(relay::RelayResult result);
+    void onNotRun(const relay::RelayResult& result);
+    void onUnknown();
+    void onDeadline();
+    void giveUp(const char* reason, bool is_timeout);
+    void stopAttempt();
+    void finish(HttpAnswer answer, EntryEnd end);
+    [[nodiscard]] Duration remaining() const { return plan_.deadline - services_.clock.now(); }
+
+    EntryServices& services_;
+    EntryPlan plan_;
+    ReplyCallback reply_;
+    EndCallback end_;
+    TimerHandle deadline_timer_;
+    std::string relay_;                    ///< The node that has the attempt now; empty: none.
+    AttemptHandle attempt_;                ///< At another node.
+    relay::RelayService::Number own_ = 0;  ///< At this node's own relay.
+    std::set<std::string> tried_;
+    std::size_t refusals_ = 0;
+    std::uint32_t offered_ = 0;  ///< Instances that were sent the request.
+    bool may_have_run_ = false;
+};
+
+}  // namespace dewcrank::entry
--- /dev/null
+++ b/src/entry/relay_selector.cc
@@ -0,0 +1,81 @@
+#include "src/entry/relay_selector.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dewcrank::entry {
+
+RelaySelector::RelaySelector(Clock& clock, RandomSource& random, const fleet::NodeDirectory& directory,
+                             SelectorKnobs knobs)
+    : clock_(clock), random_(random), directory_(directory), knobs_(knobs) {}
+
+bool RelaySelector::serves(const wire::NodeRecord& record, const std::string& service) {
+    return !record.is_stopping() && record.instance().service() == service &&
+           record.instance().state() == wire::INSTANCE_READY;
+}
+
+std::size_t RelaySelector::relayCount(const std::string& service) const {
+    std::size_t count = serves(directory_.self(), service) ? 1 : 0;
+    for (const auto& [name, node] : directory_.others()) {
+        count += serves(node.record, service) ? 1 : 0;
+    }
+    return count;
+}
+
+double RelaySelector::costOf(const wire::NodeRecord& record, Duration cold_left, bool is_avoided) {
+    const auto& seen = seen_[record.name()];
+    const auto age = clock_.now() - seen.reported;
+    const double memory =
+        std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(knobs_.load_memory.count()), 0.0, 1.0);
+    const double reported = memory * (seen.load.running + seen.load.waiting);
+    const double own_since = seen.in_flight - memory * seen.in_flight_at_report;
+    const double slots = std::max<std::uint32_t>(1, record.instance().slots());
+    double cost = std::max(0.0, reported + own_since) / slots;
+    if (cold_left > Duration::zero()) {
+        cost = cost * knobs_.cold_factor + knobs_.cold_cost;
+    }
+    if (record.zone() != directory_.self().zone()) {
+        cost += knobs_.other_zone_cost;
+    }
+    if (is_avoided) {
+        cost += knobs_.avoided_cost;
+    }
+    return cost + knobs_.random_cost * random_.unit();
+}
+
+RelayTarget RelaySelector::choose(const std::string& service, const std::set<std::string>& excluded) {
+    RelayTarget best;
+    double least = std::numeric_limits<double>::max();
+    const auto consider = [&](const wire::NodeRecord& record, Duration cold_left, bool is_avoided) {
+        if (!serves(record, service) || excluded.contains(record.name())) {
+            return;
+        }
+        const double cost = costOf(record, cold_left, is_avoided);
+        if (cost < least) {
+            least = cost;
+            best = {record.name(), record.address(), record.instance().id()};
+        }
+    };
+    consider(directory_.self(), std::chrono::milliseconds(directory_.self().instance().cold_left_ms()), false);
+    for (const auto& [name, node] : directory_.others()) {
+        consider(node.record, directory_.coldLeft(node), directory_.isAvoided(node));
+    }
+    return best;
+}
+
+void RelaySelector::onSent(const std::string& node) {
+    ++seen_[node].in_flight;
+}
+
+void RelaySelector::onEnded(const std::string& node) {
+    --seen_[node].in_flight;
+}
+
+void RelaySelector::onLoad(const std::string& node, const relay::QueueLoad& load) {
+    auto& seen = seen_[node];
+    seen.load = load;
+    seen.reported = clock_.now();
+    seen.in_flight_at_report = seen.in_flight;
+}
+
+}  // namespace dewcrank::entry
--- /dev/null
+++ b/src/entry/relay_selector.h
@@ -0,0 +1,64 @@
+/// @file
+/// Chooses the relay that a request goes to, by load, zone and what failed lately.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "src/fleet/node_directory.h"
+#include "src/ports/clock.h"
+#include "src/ports/random_source.h"
+#include "src/relay/instance_queue.h"
+
+namespace dewcrank::entry {
+
+/// Constants of the choice. A relay's cost is its use (busy and waiting over slots) plus these.
+struct SelectorKnobs {
+    double other_zone_cost = 0.25;
+    double cold_cost = 0.3;
+    double cold_factor = 2.0;   ///< A cold instance is about this much slower.
+    double random_cost = 0.05;  ///< Uniform up to this: keeps entries from choosing alike.
+    double avoided_cost = 100;  ///< Chosen only if there is no other.
+    Duration load_memory = 2s;  ///< Reported loads fade over this time.
+};
+
+/// Where a request is sent.
+struct RelayTarget {
+    std::string node;
+    std::string address;
+    std::string instance;
+};
+
+/// Knows the loads that relays report beside their answers, and what this node has sent since.
+class RelaySelector {
+public:
+    RelaySelector(Clock& clock, RandomSource& random, const fleet::NodeDirectory& directory, SelectorKnobs knobs);
+
+    /// The relay of least cost for a service. @param excluded names of nodes not to choose.
+    /// @return a target without a node if there is none.
+    RelayTarget choose(const std::string& service, const std::set<std::string>& excluded);
+    void onSent(const std::string& node);
+    void onEnded(const std::string& node);
+    void onLoad(const std::string& node, const relay::QueueLoad& load);
+    /// Relays that serve a service now.
+    [[nodiscard]] std::size_t relayCount(const std::string& service) const;
+
+private:
+    struct Seen {
+        relay::QueueLoad load;
+        TimePoint reported{};
+        int in_flight = 0;
+        int in_flight_at_report = 0;
+    };
+    [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
+    double costOf(const wire::NodeRecord& record, Duration cold_left, bool is_avoided);
+
+    Clock& clock_;
+    RandomSource& random_;
+    const fleet::NodeDirectory& directory_;
+    SelectorKnobs knobs_;
+    std::map<std::string, Seen> seen_;
+};
+
+}  // namespace dewcrank::entry
--- /dev/null
+++ b/src/fleet/gossip.h
@@ -0,0 +1,81 @@
+/// @file
+/// Spreads records and the table between nodes: a push on each change, and an anti-entropy
+/// exchange with one random node on a timer.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "src/base/http_message.h"
+#include "src/fleet/node_directory.h"
+#include "src/policy/route_table.h"
+#include "src/ports/back_end_port.h"
+#include "src/ports/clock.h"
+#include "src/ports/event_log.h"
+#include "src/ports/random_source.h"
+
+namespace dewcrank::fleet {
+
+/// Path of the exchange at a node's address.
+inline constexpr std::string_view kGossipPath = "/fleet/gossip";
+
+/// Constants of the exchange.
+struct GossipKnobs {
+    Duration interval = 700ms;
+    Duration timeout = 600ms;
+    /// Nodes that hear of a new table version directly; the others hear from them.
+    std::size_t notice_fanout = 32;
+    /// A notice waits for a random time up to this, so that nodes that have it anyway say so first.
+    Duration longest_notice_delay = 60ms;
+};
+
+/// The exchange of one node with all others.
+class Gossip {
+public:
+    Gossip(Clock& clock, RandomSource& random, EventLog& log, BackEndPort& nodes, NodeDirectory& directory,
+           policy::RouteTable& table, GossipKnobs knobs);
+
+    void start();
+    /// Answers another node's message.
+    HttpAnswer handle(const HttpRequest& request);
+    /// Exchanges all with one node now, unless an exchange with it is under way.
+    void exchangeWith(const std::string& name);
+    /// A node has told its table's version, here or beside a call.
+    void onTableVersionSeen(const std::string& name, std::uint64_t version);
+    /// Called with each node that did not answer an exchange.
+    void onUnreachable(std::function<void(const std::string&)> callback) { unreachable_ = std::move(callback); }
+
+private:
+    using Sent = std::function<void(const wire::Gossip*)>;
+    void scheduleNext();
+    void tick();
+    void pushSelf();
+    void noticeTable();
+    [[nodiscard]] wire::Gossip message() const;
+    void send(const std::string& name, const wire::Gossip& message, Sent done);
+    void onAnswer(const std::string& name, const AttemptResult& result, const Sent& done);
+    void mergeAll(const wire::Gossip& message);
+    void sendWanted(const std::string& name, const wire::Gossip& answer);
+    void adopt(const wire::RouteTable& table, const std::string& from);
+    std::string randomNode();
+
+    Clock& clock_;
+    RandomSource& random_;
+    EventLog& log_;
+    BackEndPort& nodes_;
+    NodeDirectory& directory_;
+    policy::RouteTable& table_;
+    GossipKnobs knobs_;
+    std::function<void(const std::string&)> unreachable_;
+    std::set<std::string> exchanging_;
+    std::map<std::uint64_t, AttemptHandle> in_flight_;
+    std::uint64_t last_number_ = 0;
+    TimerHandle tick_timer_;
+    TimerHandle notice_timer_;
+    TimerHandle push_timer_;
+};
+
+}  // namespace dewcrank::fleet
--- /dev/null
+++ b/src/fleet/node_directory.cc
@@ -0,0 +1,155 @@
+#include "src/fleet/node_directory.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dewcrank::fleet {
+
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 8;
+
+template <typename Left, typename Right>
+bool isNewer(const Left& left, const Right& right) {
+    return std::make_tuple(left.incarnation(), left.sequence()) >
+           std::make_tuple(right.incarnation(), right.sequence());
+}
+
+wire::RecordVersion versionOf(const wire::NodeRecord& record) {
+    wire::RecordVersion version;
+    version.set_name(record.name());
+    version.set_incarnation(record.incarnation());
+    version.set_sequence(record.sequence());
+    return version;
+}
+
+}  // namespace
+
+NodeDirectory::NodeDirectory(Clock& clock, DirectoryKnobs knobs, wire::NodeRecord self)
+    : clock_(clock), knobs_(knobs), self_(std::move(self)) {}
+
+void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, bool is_stopping) {
+    if (instance.SerializeAsString() == self_.instance().SerializeAsString() && is_stopping == self_.is_stopping()) {
+        return;
+    }
+    *self_.mutable_instance() = instance;
+    self_.set_is_stopping(is_stopping);
+    self_.set_sequence(self_.sequence() + 1);
+    signal_self_changed_.emit();
+}
+
+bool NodeDirectory::merge(const wire::NodeRecord& record) {
+    if (record.name() == self_.name()) {
+        refute(record);
+        return false;
+    }
+    auto& known = others_[record.name()];
+    if (!known.record.name().empty() && !isNewer(record, known.record)) {
+        return false;
+    }
+    if (record.incarnation() > known.record.incarnation()) {
+        known.failures = 0;
+        known.avoided_until = {};
+        known.table_version = 0;
+    }
+    known.record = record;
+    known.received = clock_.now();
+    signal_changed_.emit(record.name());
+    return true;
+}
+
+/// An earlier life of this node is remembered as later than this one: its clock had been
+/// ahead. This life goes on after it.
+void NodeDirectory::refute(const wire::NodeRecord& record) {
+    if (isNewer(record, self_)) {
+        self_.set_incarnation(record.incarnation() + 1);
+        signal_self_changed_.emit();
+    }
+}
+
+void NodeDirectory::addAddress(const std::string& name, const std::string& zone, const std::string& address) {
+    if (name == self_.name() || others_.contains(name)) {
+        return;
+    }
+    auto& known = others_[name];
+    known.record.set_name(name);
+    known.record.set_zone(zone);
+    known.record.set_address(address);
+    known.received = clock_.now();
+}
+
+const KnownNode* NodeDirectory::find(const std::string& name) const {
+    const auto found = others_.find(name);
+    return found == others_.end() ? nullptr : &found->second;
+}
+
+Duration NodeDirectory::coldLeft(const KnownNode& node) const {
+    const auto told = std::chrono::milliseconds(node.record.instance().cold_left_ms());
+    return std::max<Duration>(Duration::zero(), told - (clock_.now() - node.received));
+}
+
+void NodeDirectory::onReached(const std::string& name) {
+    if (const auto found = others_.find(name); found != others_.end()) {
+        found->second.failures = 0;
+        found->second.avoided_until = {};
+    }
+}
+
+Duration NodeDirectory::onUnreachable(const std::string& name) {
+    const auto found = others_.find(name);
+    if (found == others_.end()) {
+        return {};
+    }
+    auto& node = found->second;
+    const auto doublings = std::min(node.failures++, kMostDoublings);
+    const auto pause = std::min(knobs_.longest_avoidance, knobs_.first_avoidance * (1U << doublings));
+    node.avoided_until = clock_.now() + pause;
+    return pause;
+}
+
+void NodeDirectory::onTableVersion(const std::string& name, std::uint64_t version) {
+    if (const auto found = others_.find(name); found != others_.end()) {
+        found->second.table_version = std::max(found->second.table_version, version);
+    }
+}
+
+const wire::NodeRecord* NodeDirectory::record(const std::string& name) const {
+    if (name == self_.name()) {
+        return &self_;
+    }
+    const auto* known = find(name);
+    return known == nullptr ? nullptr : &known->record;
+}
+
+std::vector<wire::RecordVersion> NodeDirectory::digest() const {
+    std::vector<wire::RecordVersion> versions{versionOf(self_)};
+    for (const auto& [name, known] : others_) {
+        versions.push_back(versionOf(known.record));
+    }
+    return versions;
+}
+
+NodeDirectory::Difference NodeDirectory::differenceTo(const std::vector<wire::RecordVersion>& digest) const {
+    Difference difference;
+    std::map<std::string, const wire::RecordVersion*> theirs;
+    for (const auto& version : digest) {
+        theirs[version.name()] = &version;
+        const auto* mine = record(version.name());
+        if (mine == nullptr || isNewer(version, *mine)) {
+            difference.older.push_back(version.name());
+        }
+    }
+    const auto consider = [&](const wire::NodeRecord& mine) {
+        const auto found = theirs.find(mine.name());
+        if (found == theirs.end() || isNewer(mine, *found->second)) {
+            difference.newer.push_back(mine);
+        }
+    };
+    consider(self_);
+    for (const auto& [name, known] : others_) {
+        consider(known.record);
+    }
+    return difference;
+}
+
+}  // namespace dewcrank::fleet
--- /dev/null
+++ b/src/fleet/node_directory.h
@@ -0,0 +1,86 @@
+/// @file
+/// The nodes that this node knows, each with the instance beside it.
+#pragma once
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "proto/generated/fleet.pb.h"
+#include "src/base/time.h"
+#include "src/ports/clock.h"
+
+namespace dewcrank::fleet {
+
+/// A node as known here: its record, and what this node has seen of it.
+struct KnownNode {
+    wire::NodeRecord record;
+    TimePoint received{};             ///< When the record came; its cold time runs from then.
+    std::uint64_t table_version = 0;  ///< The newest version it is known to have.
+    std::uint32_t failures = 0;       ///< Contacts that failed in a row.
+    TimePoint avoided_until{};        ///< Gets no calls before.
+};
+
+/// Constants of the directory.
+struct DirectoryKnobs {
+    /// How long a node is avoided after its first failed contact; doubles with each further one.
+    Duration first_avoidance = 250ms;
+    Duration longest_avoidance = 2s;
+};
+
+/// Aggregate: records merge by (incarnation, sequence), so that all nodes end with the same
+/// whatever the order in which they hear of them. A node alone writes its own record; one that
+/// hears of a later life of itself than its own goes on after it.
+class NodeDirectory {
+public:
+    NodeDirectory(Clock& clock, DirectoryKnobs knobs, wire::NodeRecord self);
+
+    [[nodiscard]] const wire::NodeRecord& self() const { return self_; }
+    /// Replaces what this node says of its instance and of itself.
+    void updateSelf(const wire::InstanceRecord& instance, bool is_stopping);
+    /// Merges a record. @return true if it was news.
+    bool merge(const wire::NodeRecord& record);
+    /// A node whose record is not known yet, from the store's list.
+    void addAddress(const std::string& name, const std::string& zone, const std::string& address);
+
+    [[nodiscard]] const std::map<std::string, KnownNode>& others() const { return others_; }
+    [[nodiscard]] const KnownNode* find(const std::string& name) const;
+    [[nodiscard]] bool isAvoided(const KnownNode& node) const { return clock_.now() < node.avoided_until; }
+    /// How much longer its instance is cold.
+    [[nodiscard]] Duration coldLeft(const KnownNode& node) const;
+
+    void onReached(const std::string& name);
+    /// @return how long the node is avoided now.
+    Duration onUnreachable(const std::string& name);
+    void onTableVersion(const std::string& name, std::uint64_t version);
+
+    /// The records newer than the digest, and the names in which the digest is newer.
+    struct Difference {
+        std::vector<wire::NodeRecord> newer;
+        std::vector<std::string> older;
+    };
+    [[nodiscard]] Difference differenceTo(const std::vector<wire::RecordVersion>& digest) const;
+    [[nodiscard]] std::vector<wire::RecordVersion> digest() const;
+    /// The record of a node, this one included; null if unknown.
+    [[nodiscard]] const wire::NodeRecord* record(const std::string& name) const;
+
+    /// Emitted with a node's name when its record has changed.
+    sigc::signal<void(const std::string&)>& signalChanged() { return signal_changed_; }
+    /// Emitted when this node's own record has changed.
+    sigc::signal<void()>& signalSelfChanged() { return signal_self_changed_; }
+
+private:
+    void refute(const wire::NodeRecord& record);
+
+    Clock& clock_;
+    DirectoryKnobs knobs_;
+    wire::NodeRecord self_;
+    std::map<std::string, KnownNode> others_;
+    sigc::signal<void(const std::string&)> signal_changed_;
+    sigc::signal<void()> signal_self_changed_;
+};
+
+}  // namespace dewcrank::fleet
--- /dev/null
+++ b/src/policy/route_table.h
@@ -0,0 +1,51 @@
+/// @file
+/// The table in force at a sidecar node: routes by host and path, and the services behind them.
+#pragma once
+
+#include <sigc++/sigc++.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "proto/generated/fleet.pb.h"
+#include "src/base/time.h"
+
+namespace dewcrank::policy {
+
+/// Aggregate: one version of the table, whole. Versions only grow.
+class RouteTable {
+public:
+    /// Adopts a table if it is newer. @return true if it was.
+    bool adopt(wire::RouteTable table);
+    /// The route with the longest prefix of the path at this host; null if there is none.
+    /// @param host as in a Host header: compared without case, and without its port.
+    [[nodiscard]] const wire::Route* match(std::string_view host, std::string_view path) const;
+    [[nodiscard]] std::uint64_t version() const { return table_.version(); }
+    [[nodiscard]] bool isKnown() const { return table_.version() > 0; }
+    [[nodiscard]] const wire::RouteTable& whole() const { return table_; }
+
+    /// Emitted after each adoption.
+    sigc::signal<void()>& signalAdopted() { return signal_adopted_; }
+
+private:
+    wire::RouteTable table_;
+    /// By host in lower case; prefixes from the longest to the shortest.
+    std::map<std::string, std::vector<const wire::Route*>, std::less<>> by_host_;
+    sigc::signal<void()> signal_adopted_;
+};
+
+/// Divides a route's requests among its parts, exactly in the long run and closely in the
+/// short: a low-discrepancy (golden ratio) sequence with a random start at each node.
+class TrafficDivider {
+public:
+    explicit TrafficDivider(double start) : position_(start) {}
+    /// Index of the part that the next request goes to.
+    std::size_t next(const wire::Route& route);
+
+private:
+    double position_;
+};
+
+}  // namespace dewcrank::policy
--- /dev/null
+++ b/src/relay/instance_queue.cc
@@ -0,0 +1,78 @@
+#include "src/relay/instance_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace dewcrank::relay {
+
+void InstanceQueue::setLimit(std::uint32_t limit) {
+    limit_ = limit;
+    serve();
+}
+
+Duration InstanceQueue::expectedWait(std::uint32_t rank) const {
+    if (running_ < limit_ && waiting_.empty()) {
+        return {};
+    }
+    const auto end = waiting_.upper_bound({rank, std::numeric_limits<std::uint64_t>::max()});
+    const auto ahead = std::distance(waiting_.begin(), end);
+    const auto slots = std::max<std::int64_t>(1, limit_);
+    return mean_time_ * (ahead + 1) / slots;
+}
+
+std::uint64_t InstanceQueue::enter(const QueueRequest& request, Callback callback) {
+    if (running_ < limit_ && waiting_.empty()) {
+        ++running_;
+        callback(Decision::kGo);
+        return 0;
+    }
+    const auto now = clock_.now();
+    if (now + expectedWait(request.rank) > request.give_up_at) {
+        callback(Decision::kTooLong);
+        return 0;
+    }
+    const auto ticket = ++last_ticket_;
+    const Key key{request.rank, ticket};
+    auto& waiter = waiting_[key];
+    ranks_[ticket] = request.rank;
+    waiter.callback = std::move(callback);
+    waiter.timer = clock_.startTimer(request.give_up_at - now, [this, key] {
+        auto expired = waiting_.extract(key);
+        ranks_.erase(key.second);
+        expired.mapped().callback(Decision::kTimedOut);
+    });
+    return ticket;
+}
+
+void InstanceQueue::cancel(std::uint64_t ticket) {
+    const auto rank = ranks_.find(ticket);
+    if (rank != ranks_.end()) {
+        waiting_.erase({rank->second, ticket});
+        ranks_.erase(rank);
+    }
+}
+
+void InstanceQueue::leave(Duration time) {
+    --running_;
+    if (time > Duration::zero()) {
+        const auto change = static_cast<double>((time - mean_time_).count()) * knobs_.time_weight;
+        mean_time_ += Duration(static_cast<std::int64_t>(change));
+    }
+    serve();
+}
+
+void InstanceQueue::serve() {
+    while (running_ < limit_ && !waiting_.empty()) {
+        auto next = waiting_.extract(waiting_.begin());
+        ranks_.erase(next.key().second);
+        ++running_;
+        next.mapped().callback(Decision::kGo);
+    }
+}
+
+QueueLoad InstanceQueue::load() const {
+    return {running_, static_cast<std::uint32_t>(waiting_.size()), limit_};
+}
+
+}  // namespace dewcrank::relay
--- /dev/null
+++ b/src/relay/relay_service.cc
@@ -0,0 +1,230 @@
+#include "src/relay/relay_service.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank::relay {
+
+namespace {
+
+/// Statuses that promise that a request was not run.
+bool promisesNotRun(int status) {
+    constexpr std::array<int, 4> kPromises = {kHttpRequestTimeout, kHttpMisdirected, kHttpTooManyRequests,
+                                              kHttpServiceUnavailable};
+    return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
+}
+
+bool isSuccess(int status) {
+    return status / 100 == 2;
+}
+
+}  // namespace
+
+const char* reasonText(RelayReason reason) {
+    switch (reason) {
+        case RelayReason::kNone:
+            return "none";
+        case RelayReason::kOtherInstance:
+            return "other-instance";
+        case RelayReason::kDraining:
+            return "draining";
+        case RelayReason::kStopping:
+            return "stopping";
+        case RelayReason::kRepeatBudget:
+            return "repeat-budget";
+        case RelayReason::kQueueTooLong:
+            return "queue-too-long";
+        case RelayReason::kQueueTimeout:
+            return "queue-timeout";
+        case RelayReason::kDeadline:
+            return "deadline";
+        case RelayReason::kNotConnected:
+            return "not-connected";
+        case RelayReason::kInstanceRefused:
+            return "instance-refused";
+        case RelayReason::kNoWholeAnswer:
+            return "no-whole-answer";
+        case RelayReason::kRelayLost:
+            return "relay-lost";
+    }
+    return "none";
+}
+
+RelayService::RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
+                           const HeaderNames& names, std::string instance_address, RelayKnobs knobs)
+    : clock_(clock),
+      log_(log),
+      instances_(instances),
+      instance_(instance),
+      names_(names),
+      instance_address_(std::move(instance_address)),
+      knobs_(knobs),
+      queue_(clock, knobs.queue),
+      repeats_(knobs.repeats) {
+    instance_.signalChanged().connect([this] {
+        if (instance_.isReady()) {
+            queue_.setLimit(instance_.record().slots());
+        }
+    });
+}
+
+RelayService::~RelayService() = default;
+
+RelayReason RelayService::refusalOf(const RelayRequest& request) {
+    if (is_stopping_) {
+        return RelayReason::kStopping;
+    }
+    if (!instance_.takesCallsFor(request.instance)) {
+        const bool is_same = instance_.record().id() == request.instance;
+        return is_same ? RelayReason::kDraining : RelayReason::kOtherInstance;
+    }
+    if (request.is_repeat && !repeats_.tryRepeat(clock_.now(), relay_count_)) {
+        return RelayReason::kRepeatBudget;
+    }
+    return RelayReason::kNone;
+}
+
+RelayService::Number RelayService::start(RelayRequest request, Callback callback) {
+    const auto number = ++last_number_;
+    auto& running = *(running_[number] = std::make_unique<Running>());
+    running.request = std::move(request);
+    running.callback = std::move(callback);
+    if (const auto refusal = refusalOf(running.request); refusal != RelayReason::kNone) {
+        refuseLater(number, refusal);
+        return number;
+    }
+    if (!running.request.is_repeat) {
+        repeats_.onFirst(clock_.now());
+    }
+    const auto give_up_at = std::min(running.request.deadline, clock_.now() + running.request.longest_wait);
+    const auto ticket =
+        queue_.enter({running.request.rank, give_up_at},
+                     [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
+    running.ticket = ticket;
+    return number;
+}
+
+void RelayService::refuseLater(Number number, RelayReason reason) {
+    running_[number]->refusal = clock_.startTimer(Duration::zero(), [this, number, reason] {
+        RelayResult result;
+        result.reason = reason;
+        finish(number, std::move(result));
+    });
+}
+
+void RelayService::onDecision(Number number, InstanceQueue::Decision decision) {
+    auto& running = *running_[number];
+    running.ticket = 0;
+    if (decision != InstanceQueue::Decision::kGo) {
+        const bool is_timeout = decision == InstanceQueue::Decision::kTimedOut;
+        refuseLater(number, is_timeout ? RelayReason::kQueueTimeout : RelayReason::kQueueTooLong);
+        return;
+    }
+    running.is_let_in = true;
+    if (!instance_.takesCallsFor(running.request.instance)) {
+        refuseLater(number, RelayReason::kDraining);
+    } else if (running.request.deadline - clock_.now() < knobs_.least_remaining) {
+        refuseLater(number, RelayReason::kDeadline);
+    } else {
+        send(number);
+    }
+}
+
+void RelayService::send(Number number) {
+    auto& running = *running_[number];
+    auto request = running.request.request;
+    const auto remaining = running.request.deadline - clock_.now();
+    request.headers.set(names_.expected_instance, running.request.instance);
+    request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(remaining)));
+    running.sent = clock_.now();
+    running.attempt =
+        instances_.send(instance_address_, std::move(request), remaining,
+                        [this, number](AttemptResult result) { onAttemptEnded(number, std::move(result)); });
+}
+
+void RelayService::onAttemptEnded(Number number, AttemptResult result) {
+    auto judged = judge(*running_[number], std::move(result));
+    finish(number, std::move(judged));
+}
+
+RelayResult RelayService::judge(const Running& running, AttemptResult result) {
+    if (result.outcome == AttemptOutcome::kAnswered) {
+        instance_.onAnswered();
+        return judgeAnswer(running, std::move(result.answer));
+    }
+    RelayResult judged;
+    judged.was_offered = result.outcome == AttemptOutcome::kUnknown;
+    judged.outcome = judged.was_offered ? RelayOutcome::kUnknown : RelayOutcome::kNotRun;
+    judged.reason = judged.was_offered ? RelayReason::kNoWholeAnswer : RelayReason::kNotConnected;
+    if (!judged.was_offered) {
+        instance_.onUnreachable();
+    }
+    log_.write(Event("instance_failed")
+                   .with("request", running.request.request.headers.get(names_.request_id))
+                   .with("peer", instance_address_)
+                   .with("instance", running.request.instance)
+                   .with("reason", result.reason)
+                   .with("sent", judged.was_offered ? "yes" : "no"));
+    return judged;
+}
+
+RelayResult RelayService::judgeAnswer(const Running& running, HttpAnswer answer) {
+    RelayResult judged;
+    judged.was_offered = true;
+    if (answer.headers.has(names_.not_executed) || answer.status == kHttpMisdirected) {
+        if (answer.status == kHttpMisdirected) {
+            instance_.onMisdirected(running.request.instance);
+        }
+        judged.reason = RelayReason::kInstanceRefused;
+        return judged;
+    }
+    const auto& request = running.request.request;
+    const bool is_own = answer.headers.get(names_.request_id) == request.headers.get(names_.request_id);
+    const bool is_signed = answer.headers.has(names_.server_stamp) && !answer.headers.has("content-encoding");
+    const bool is_whole = isSuccess(answer.status) ? is_own && is_signed : !promisesNotRun(answer.status);
+    if (!is_whole) {
+        log_.write(Event("answer_spoiled")
+                       .with("request", request.headers.get(names_.request_id))
+                       .with("peer", instance_address_)
+                       .with("status", answer.status));
+        judged.outcome = RelayOutcome::kUnknown;
+        judged.reason = RelayReason::kNoWholeAnswer;
+        return judged;
+    }
+    removeHopByHopHeaders(answer.headers);
+    judged.outcome = RelayOutcome::kAnswered;
+    judged.answer = std::move(answer);
+    return judged;
+}
+
+void RelayService::finish(Number number, RelayResult result) {
+    auto ended = running_.extract(number);
+    auto& running = *ended.mapped();
+    if (running.is_let_in) {
+        const bool is_measured = result.outcome == RelayOutcome::kAnswered;
+        queue_.leave(is_measured ? clock_.now() - running.sent : Duration::zero());
+    }
+    result.load = queue_.load();
+    result.has_load = true;
+    running.callback(std::move(result));
+}
+
+void RelayService::cancel(Number number) {
+    const auto cancelled = running_.extract(number);
+    if (cancelled.empty()) {
+        return;
+    }
+    auto& running = *cancelled.mapped();
+    if (running.ticket != 0) {
+        queue_.cancel(running.ticket);
+    }
+    if (running.is_let_in) {
+        running.attempt.reset();
+        queue_.leave(Duration::zero());
+    }
+}
+
+}  // namespace dewcrank::relay
--- /dev/null
+++ b/src/relay/relay_service.h
@@ -0,0 +1,131 @@
+/// @file
+/// The only door to the instance beside a node: queue, repeat budget, one send, checked answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/base/header_names.h"
+#include "src/base/http_message.h"
+#include "src/instance/local_instance.h"
+#include "src/ports/back_end_port.h"
+#include "src/ports/clock.h"
+#include "src/ports/event_log.h"
+#include "src/relay/instance_queue.h"
+#include "src/retry/repeat_budget.h"
+
+namespace dewcrank::relay {
+
+/// What an entry node asks a relay for.
+struct RelayRequest {
+    HttpRequest request;
+    std::string instance;     ///< The only instance that may run it.
+    bool is_repeat = false;   ///< An instance was sent this request before.
+    std::uint32_t rank = 0;   ///< Lower ranks are let in first.
+    TimePoint deadline{};     ///< The instance must have answered by then.
+    Duration longest_wait{};  ///< In the queue.
+};
+
+/// How a relayed request ended.
+enum class RelayOutcome {
+    kAnswered,
+    kNotRun,   ///< Proved: it was not sent, or the instance has said so.
+    kUnknown,  ///< It was sent, and there is no whole answer.
+};
+
+/// Why a request was not run, or has no answer.
+enum class RelayReason {
+    kNone,
+    kOtherInstance,  ///< The instance asked for is not here any more.
+    kDraining,
+    kStopping,
+    kRepeatBudget,
+    kQueueTooLong,
+    kQueueTimeout,
+    kDeadline,
+    kNotConnected,
+    kInstanceRefused,  ///< The instance has said that it did not run it.
+    kNoWholeAnswer,
+    kRelayLost,  ///< The relay did not answer the entry.
+};
+const char* reasonText(RelayReason reason);
+
+struct RelayResult {
+    RelayOutcome outcome = RelayOutcome::kNotRun;
+    RelayReason reason = RelayReason::kNone;
+    bool was_offered = false;  ///< An instance has been sent it.
+    HttpAnswer answer;         ///< Only with kAnswered.
+    QueueLoad load;
+    bool has_load = false;
+};
+
+/// Constants of a relay.
+struct RelayKnobs {
+    QueueKnobs queue;
+    retry::RepeatBound repeats;
+    /// Less time than this left: the request is not sent.
+    Duration least_remaining = 5ms;
+};
+
+/// Relays requests of this node's callers and of other nodes to the one instance.
+class RelayService {
+public:
+    using Number = std::uint64_t;
+    using Callback = std::function<void(RelayResult)>;
+
+    RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
+                 const HeaderNames& names, std::string instance_address, RelayKnobs knobs);
+    ~RelayService();
+    RelayService(const RelayService&) = delete;
+    RelayService& operator=(const RelayService&) = delete;
+
+    /// The callback runs once, later on the loop.
+    Number start(RelayRequest request, Callback callback);
+    /// Gives a request up; its callback is not called any more.
+    void cancel(Number number);
+    /// Nothing further is let in.
+    void stop() { is_stopping_ = true; }
+    /// @param count of relays that share the service's repeat budget.
+    void setRelayCount(std::size_t count) { relay_count_ = count; }
+    [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
+    [[nodiscard]] QueueLoad load() const { return queue_.load(); }
+
+private:
+    struct Running {
+        RelayRequest request;
+        Callback callback;
+        std::uint64_t ticket = 0;
+        bool is_let_in = false;
+        TimePoint sent{};
+        AttemptHandle attempt;
+        TimerHandle refusal;
+    };
+    [[nodiscard]] RelayReason refusalOf(const RelayRequest& request);
+    void refuseLater(Number number, RelayReason reason);
+    void onDecision(Number number, InstanceQueue::Decision decision);
+    void send(Number number);
+    void onAttemptEnded(Number number, AttemptResult result);
+    RelayResult judge(const Running& running, AttemptResult result);
+    RelayResult judgeAnswer(const Running& running, HttpAnswer answer);
+    void finish(Number number, RelayResult result);
+
+    Clock& clock_;
+    EventLog& log_;
+    BackEndPort& instances_;
+    instance::LocalInstance& instance_;
+    const HeaderNames& names_;
+    std::string instance_address_;
+    RelayKnobs knobs_;
+    InstanceQueue queue_;
+    retry::RepeatBudget repeats_;
+    std::size_t relay_count_ = 1;
+    bool is_stopping_ = false;
+    Number last_number_ = 0;
+    std::map<Number, std::unique_ptr<Running>> running_;
+};
+
+}  // namespace dewcrank::relay
--- /dev/null
+++ b/src/relay/relay_wire.cc
@@ -0,0 +1,114 @@
+#include "src/relay/relay_wire.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank::relay {
+
+namespace {
+
+constexpr std::string_view kInstance = "dewcrank-relay-instance";
+constexpr std::string_view kRepeat = "dewcrank-relay-repeat";
+constexpr std::string_view kRank = "dewcrank-relay-rank";
+constexpr std::string_view kDeadline = "dewcrank-relay-deadline-us";
+constexpr std::string_view kWait = "dewcrank-relay-wait-us";
+constexpr std::string_view kSender = "dewcrank-relay-sender";
+constexpr std::string_view kTable = "dewcrank-relay-table";
+constexpr std::string_view kOutcome = "dewcrank-relay-outcome";
+constexpr std::string_view kReason = "dewcrank-relay-reason";
+constexpr std::string_view kOffered = "dewcrank-relay-offered";
+constexpr std::string_view kLoad = "dewcrank-relay-load";
+
+constexpr std::array<std::string_view, 3> kOutcomeNames = {"answered", "not-run", "unknown"};
+
+std::int64_t numberIn(const Headers& headers, std::string_view name) {
+    const auto text = headers.get(name);
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+QueueLoad parseLoad(std::string_view text) {
+    QueueLoad load;
+    const std::string copy(text);
+    std::sscanf(copy.c_str(), "%u,%u,%u", &load.running, &load.waiting, &load.limit);
+    return load;
+}
+
+void addPeer(Headers& headers, const RelayPeer& peer) {
+    headers.set(kSender, peer.name);
+    headers.set(kTable, std::to_string(peer.table_version));
+}
+
+}  // namespace
+
+HttpRequest toHttp(const RelayRequest& request, const RelayPeer& sender, TimePoint now) {
+    auto message = request.request;
+    message.headers.set(kInstance, request.instance);
+    message.headers.set(kRepeat, request.is_repeat ? "1" : "0");
+    message.headers.set(kRank, std::to_string(request.rank));
+    message.headers.set(kDeadline, std::to_string((request.deadline - now).count()));
+    message.headers.set(kWait, std::to_string(request.longest_wait.count()));
+    addPeer(message.headers, sender);
+    return message;
+}
+
+std::optional<RelayRequest> fromHttp(HttpRequest request, TimePoint now) {
+    if (!request.headers.has(kInstance)) {
+        return std::nullopt;
+    }
+    RelayRequest relayed;
+    relayed.instance = request.headers.get(kInstance);
+    relayed.is_repeat = numberIn(request.headers, kRepeat) != 0;
+    relayed.rank = static_cast<std::uint32_t>(numberIn(request.headers, kRank));
+    relayed.deadline = now + Duration(numberIn(request.headers, kDeadline));
+    relayed.longest_wait = Duration(numberIn(request.headers, kWait));
+    request.headers.removePrefix(kRelayHeaderPrefix);
+    relayed.request = std::move(request);
+    return relayed;
+}
+
+HttpAnswer toHttp(RelayResult result, const RelayPeer& sender) {
+    auto answer = std::move(result.answer);
+    if (result.outcome != RelayOutcome::kAnswered) {
+        answer.status = kHttpOk;
+    }
+    answer.headers.removePrefix(kRelayHeaderPrefix);
+    answer.headers.set(kOutcome, std::string(kOutcomeNames.at(static_cast<std::size_t>(result.outcome))));
+    answer.headers.set(kReason, std::to_string(static_cast<int>(result.reason)));
+    answer.headers.set(kOffered, result.was_offered ? "1" : "0");
+    answer.headers.set(kLoad, std::to_string(result.load.running) + "," + std::to_string(result.load.waiting) + "," +
+                                  std::to_string(result.load.limit));
+    addPeer(answer.headers, sender);
+    return answer;
+}
+
+RelayResult fromHttp(HttpAnswer answer) {
+    RelayResult result;
+    const auto name = answer.headers.get(kOutcome);
+    const auto* found = std::find(kOutcomeNames.begin(), kOutcomeNames.end(), name);
+    if (found == kOutcomeNames.end()) {
+        result.outcome = RelayOutcome::kUnknown;
+        result.reason = RelayReason::kRelayLost;
+        result.was_offered = true;
+        return result;
+    }
+    result.outcome = static_cast<RelayOutcome>(found - kOutcomeNames.begin());
+    result.reason = static_cast<RelayReason>(numberIn(answer.headers, kReason));
+    result.was_offered = numberIn(answer.headers, kOffered) != 0;
+    result.load = parseLoad(answer.headers.get(kLoad));
+    result.has_load = true;
+    answer.headers.removePrefix(kRelayHeaderPrefix);
+    result.answer = std::move(answer);
+    return result;
+}
+
+RelayPeer peerOf(const Headers& headers) {
+    return {std::string(headers.get(kSender)), static_cast<std::uint64_t>(numberIn(headers, kTable))};
+}
+
+}  // namespace dewcrank::relay
--- /dev/null
+++ b/src/retry/repeat_budget.cc
@@ -0,0 +1,43 @@
+#include "src/retry/repeat_budget.h"
+
+#include <algorithm>
+
+namespace dewcrank::retry {
+
+namespace {
+constexpr double kMargin = 0.5;
+}
+
+RepeatBudget::Second& RepeatBudget::current(TimePoint now) {
+    const auto number = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    if (seconds_.empty() || seconds_.back().number != number) {
+        seconds_.push_back({number, 0, 0});
+    }
+    const auto length = std::chrono::duration_cast<std::chrono::seconds>(bound_.window).count();
+    while (seconds_.front().number < number - length) {
+        seconds_.pop_front();
+    }
+    return seconds_.back();
+}
+
+void RepeatBudget::onFirst(TimePoint now) {
+    ++current(now).first;
+}
+
+bool RepeatBudget::tryRepeat(TimePoint now, std::size_t relays) {
+    auto& present = current(now);
+    double first = 0;
+    double repeats = 0;
+    for (const auto& second : seconds_) {
+        first += second.first;
+        repeats += second.repeats;
+    }
+    const auto part = bound_.slack / static_cast<double>(std::max<std::size_t>(1, relays));
+    if (repeats + 1 > kMargin * (bound_.ratio * first + part)) {
+        return false;
+    }
+    ++present.repeats;
+    return true;
+}
+
+}  // namespace dewcrank::retry
--- /dev/null
+++ b/src/sidecar/settings.h
@@ -0,0 +1,47 @@
+/// @file
+/// What a sidecar node is told at its start.
+#pragma once
+
+#include <string>
+
+#include "src/base/header_names.h"
+#include "src/base/time.h"
+#include "src/entry/entry_call.h"
+#include "src/fleet/gossip.h"
+#include "src/fleet/node_directory.h"
+#include "src/relay/relay_service.h"
+
+namespace dewcrank::sidecar {
+
+/// Constants of all parts of a sidecar node.
+struct Knobs {
+    fleet::DirectoryKnobs directory;
+    fleet::GossipKnobs gossip;
+    entry::SelectorKnobs selector;
+    entry::EntryKnobs entry;
+    relay::RelayKnobs relay;
+    /// An instance that is silent for longer counts as unknown.
+    Duration longest_silence = 8s;
+    /// Waits between tries to reach the store: doubled from the first to the longest.
+    Duration first_store_pause = 200ms;
+    Duration longest_store_pause = 2s;
+    /// How long one watch of the store waits.
+    Duration watch_wait = 25s;
+    /// A stopping node goes on serving for this long, until callers have been led elsewhere.
+    Duration stop_serving = 2500ms;
+    /// A stopping node ends at the latest after this.
+    Duration longest_stop = 5500ms;
+};
+
+struct Settings {
+    std::string name;
+    std::string zone;
+    std::string address;           ///< "ip:port" for calls from other nodes.
+    std::string instance_address;  ///< "ip:port" of the instance beside the node.
+    std::string service;           ///< Of that instance.
+    std::uint64_t incarnation = 0;
+    HeaderNames header_names;
+    Knobs knobs;
+};
+
+}  // namespace dewcrank::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_node.cc
@@ -0,0 +1,241 @@
+#include "src/sidecar/sidecar_node.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "src/base/http_status.h"
+#include "src/relay/relay_wire.h"
+
+namespace dewcrank::sidecar {
+
+namespace {
+
+constexpr Duration kStopCheck = 50ms;
+constexpr const char* kNotReadyRetryAfter = "0.5";
+
+HttpAnswer plainAnswer(int status, const std::string& text) {
+    HttpAnswer answer;
+    answer.status = status;
+    answer.headers.set("Content-Type", "text/plain");
+    answer.body = text + "\n";
+    return answer;
+}
+
+/// Milliseconds in a header; nothing if it holds no number.
+std::optional<Duration> millisecondsIn(std::string_view text) {
+    std::int64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc() || result.ptr != text.data() + text.size() || value < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+}  // namespace
+
+wire::NodeRecord SidecarNode::firstRecord(const Settings& settings) {
+    wire::NodeRecord record;
+    record.set_name(settings.name);
+    record.set_incarnation(settings.incarnation);
+    record.set_zone(settings.zone);
+    record.set_address(settings.address);
+    return record;
+}
+
+SidecarNode::SidecarNode(const Ports& ports, Settings settings)
+    : ports_(ports),
+      settings_(std::move(settings)),
+      directory_(ports.clock, settings_.knobs.directory, firstRecord(settings_)),
+      gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, settings_.knobs.gossip),
+      instance_(ports.clock, settings_.knobs.longest_silence),
+      relay_(ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
+             settings_.knobs.relay),
+      selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
+      entry_services_{ports.clock,
+                      ports.random,
+                      ports.log,
+                      ports.nodes,
+                      selector_,
+                      relay_,
+                      directory_,
+                      gossip_,
+                      table_,
+                      settings_.header_names,
+                      settings_.knobs.entry},
+      store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
+    instance_.signalChanged().connect([this] { publishSelf(); });
+    directory_.signalChanged().connect(
+        [this](const std::string&) { relay_.setRelayCount(selector_.relayCount(settings_.service)); });
+}
+
+SidecarNode::~SidecarNode() {
+    calls_.clear();
+    ended_calls_.clear();
+}
+
+void SidecarNode::start() {
+    gossip_.start();
+    store_session_.start();
+}
+
+bool SidecarNode::isReady() const {
+    return table_.isKnown() && !is_stopping_ && !directory_.others().empty();
+}
+
+void SidecarNode::publishSelf() {
+    const auto& record = instance_.record();
+    ports_.log.write(Event("instance_changed")
+                         .with("instance", record.id())
+                         .with("service", record.service())
+                         .with("state", wire::InstanceState_Name(record.state()))
+                         .with("slots", record.slots()));
+    directory_.updateSelf(record, is_stopping_);
+    relay_.setRelayCount(selector_.relayCount(settings_.service));
+}
+
+void SidecarNode::onHeartbeat(const instance::Heartbeat& heartbeat) {
+    ++counters_.heartbeats;
+    instance_.onHeartbeat(heartbeat);
+}
+
+void SidecarNode::onInstanceLeave(const std::string& id) {
+    instance_.onLeave(id);
+}
+
+// Calls --------------------------------------------------------------------
+
+std::optional<HttpAnswer> SidecarNode::refusalOf(const HttpRequest& request, const wire::Route* route) const {
+    if (!table_.isKnown()) {
+        auto answer = plainAnswer(kHttpServiceUnavailable, "not-ready");
+        answer.headers.set("Retry-After", kNotReadyRetryAfter);
+        return answer;
+    }
+    if (route == nullptr) {
+        return plainAnswer(kHttpNotFound, "no route for this host and path");
+    }
+    if (request.headers.get(settings_.header_names.request_id).empty()) {
+        return plainAnswer(kHttpBadRequest, "the request has no id");
+    }
+    return std::nullopt;
+}
+
+SidecarNode::CallNumber SidecarNode::handleCall(HttpRequest request, ReplyCallback reply) {
+    const auto* route = table_.match(request.headers.get("host"), request.path);
+    if (auto refusal = refusalOf(request, route)) {
+        reply(std::move(*refusal));
+        return 0;
+    }
+    const auto number = ++last_call_;
+    auto call = std::make_unique<entry::EntryCall>(entry_services_, plan(std::move(request), *route), std::move(reply),
+                                                   [this, number](entry::EntryEnd end) { onCallEnded(number, end); });
+    auto& started = *(calls_[number] = std::move(call));
+    started.start();
+    return calls_.contains(number) ? number : 0;
+}
+
+entry::EntryPlan SidecarNode::plan(HttpRequest request, const wire::Route& route) {
+    const auto& names = settings_.header_names;
+    const Duration longest = std::chrono::milliseconds(route.timeout_ms());
+    const auto wanted = millisecondsIn(request.headers.get(names.deadline_ms)).value_or(longest);
+    removeHopByHopHeaders(request.headers);
+    request.headers.removePrefix(relay::kRelayHeaderPrefix);
+    request.headers.remove("expect");
+    request.headers.remove(names.expected_instance);
+    request.headers.set(names.caller_service, settings_.service);
+    entry::EntryPlan plan;
+    plan.route = route;
+    plan.service = serviceFor(route);
+    plan.deadline = ports_.clock.now() + (route.timeout_ms() == 0 ? wanted : std::min(wanted, longest));
+    plan.request = std::move(request);
+    return plan;
+}
+
+/// The part whose turn it is; another one if no instance of it is known.
+std::string SidecarNode::serviceFor(const wire::Route& route) {
+    const auto found = dividers_.try_emplace(route.name(), ports_.random.unit()).first;
+    const auto chosen = route.parts(static_cast<int>(found->second.next(route))).service();
+    if (selector_.relayCount(chosen) > 0) {
+        return chosen;
+    }
+    const auto other = std::find_if(route.parts().begin(), route.parts().end(), [this](const auto& part) {
+        return part.weight() > 0 && selector_.relayCount(part.service()) > 0;
+    });
+    return other == route.parts().end() ? chosen : other->service();
+}
+
+/// The call that has just ended is still on the stack: it is destroyed from a timer.
+void SidecarNode::onCallEnded(CallNumber number, entry::EntryEnd end) {
+    counters_.answered += end == entry::EntryEnd::kAnswered ? 1 : 0;
+    counters_.refused += end == entry::EntryEnd::kRefused ? 1 : 0;
+    counters_.unknown += end == entry::EntryEnd::kUnknown ? 1 : 0;
+    auto ended = calls_.extract(number);
+    if (!ended.empty()) {
+        ended_calls_.push_back(std::move(ended.mapped()));
+    }
+    if (ended_calls_.size() == 1) {
+        ended_timer_ = ports_.clock.startTimer(Duration::zero(), [this] { ended_calls_.clear(); });
+    }
+}
+
+SidecarNode::CallNumber SidecarNode::handleNodeRequest(HttpRequest request, ReplyCallback reply) {
+    if (request.path == fleet::kGossipPath && request.method == "POST") {
+        reply(gossip_.handle(request));
+        return 0;
+    }
+    const auto sender = relay::peerOf(request.headers);
+    auto relayed = relay::fromHttp(std::move(request), ports_.clock.now());
+    if (!relayed) {
+        reply(plainAnswer(kHttpNotFound, "neither gossip nor a relayed call"));
+        return 0;
+    }
+    gossip_.onTableVersionSeen(sender.name, sender.table_version);
+    return relayCall(std::move(*relayed), std::move(reply));
+}
+
+SidecarNode::CallNumber SidecarNode::relayCall(relay::RelayRequest request, ReplyCallback reply) {
+    ++counters_.relayed;
+    const auto number = ++last_call_;
+    relayed_[number] = relay_.start(std::move(request), [this, number, reply](relay::RelayResult result) {
+        relayed_.erase(number);
+        reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
+    });
+    return number;
+}
+
+void SidecarNode::callerLeft(CallNumber number) {
+    calls_.erase(number);
+    if (const auto relayed = relayed_.extract(number); !relayed.empty()) {
+        relay_.cancel(relayed.mapped());
+    }
+}
+
+// Stop ---------------------------------------------------------------------
+
+void SidecarNode::stop(std::function<void()> done) {
+    if (is_stopping_) {
+        return;
+    }
+    is_stopping_ = true;
+    stop_began_ = ports_.clock.now();
+    stopped_ = std::move(done);
+    ports_.log.write(Event("node_stopping").with("in_flight", inFlight()));
+    relay_.stop();
+    directory_.updateSelf(instance_.record(), true);
+    if (instance_.record().state() == wire::INSTANCE_GONE) {
+        store_session_.withdraw();
+    }
+    checkStopped();
+}
+
+void SidecarNode::checkStopped() {
+    const auto elapsed = ports_.clock.now() - stop_began_;
+    const bool is_idle = elapsed >= settings_.knobs.stop_serving && inFlight() == 0;
+    if (is_idle || elapsed >= settings_.knobs.longest_stop) {
+        stopped_();
+        return;
+    }
+    stop_timer_ = ports_.clock.startTimer(kStopCheck, [this] { checkStopped(); });
+}
+
+}  // namespace dewcrank::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_node.h
@@ -0,0 +1,119 @@
+/// @file
+/// A node beside one application instance: entry for the callers on its machine, relay for its
+/// instance. The same object runs in the daemon and in simulations.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/entry/entry_call.h"
+#include "src/entry/relay_selector.h"
+#include "src/fleet/gossip.h"
+#include "src/fleet/node_directory.h"
+#include "src/instance/local_instance.h"
+#include "src/policy/route_table.h"
+#include "src/ports/back_end_port.h"
+#include "src/ports/clock.h"
+#include "src/ports/control_store.h"
+#include "src/ports/event_log.h"
+#include "src/ports/random_source.h"
+#include "src/relay/relay_service.h"
+#include "src/sidecar/settings.h"
+#include "src/sidecar/store_session.h"
+
+namespace dewcrank::sidecar {
+
+/// What a node is given. All outlive it.
+struct Ports {
+    Clock& clock;
+    RandomSource& random;
+    BackEndPort& nodes;      ///< Other nodes.
+    BackEndPort& instances;  ///< The instance beside it.
+    ControlStore& store;
+    EventLog& log;
+};
+
+/// Counts of what the node has done.
+struct Counters {
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t heartbeats = 0;
+};
+
+/// Owns no socket, clock or thread. All calls come from one loop on one thread.
+class SidecarNode {
+public:
+    using CallNumber = std::uint64_t;
+    using ReplyCallback = std::function<void(HttpAnswer)>;
+
+    SidecarNode(const Ports& ports, Settings settings);
+    ~SidecarNode();
+    SidecarNode(const SidecarNode&) = delete;
+    SidecarNode& operator=(const SidecarNode&) = delete;
+
+    void start();
+
+    /// A request of a caller on this machine, or of its instance. The reply is called exactly
+    /// once, perhaps at once, unless the caller leaves first.
+    /// @return a number for `callerLeft`; 0 if it has been answered at once.
+    CallNumber handleCall(HttpRequest request, ReplyCallback reply);
+    /// A request of another node: a relayed call, or gossip.
+    CallNumber handleNodeRequest(HttpRequest request, ReplyCallback reply);
+    /// Whoever sent the request has gone; its reply is not called any more.
+    void callerLeft(CallNumber number);
+
+    void onHeartbeat(const instance::Heartbeat& heartbeat);
+    void onInstanceLeave(const std::string& id);
+
+    /// Leads callers away and calls back once, when nothing is in flight any more.
+    void stop(std::function<void()> done);
+
+    /// True if callers may be sent here.
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] bool isStopping() const { return is_stopping_; }
+    [[nodiscard]] std::size_t inFlight() const { return calls_.size() + relay_.inFlight(); }
+    [[nodiscard]] policy::RouteTable& table() { return table_; }
+    [[nodiscard]] const fleet::NodeDirectory& directory() const { return directory_; }
+    [[nodiscard]] const Counters& counters() const { return counters_; }
+    [[nodiscard]] const relay::RelayService& relay() const { return relay_; }
+
+private:
+    [[nodiscard]] static wire::NodeRecord firstRecord(const Settings& settings);
+    [[nodiscard]] std::optional<HttpAnswer> refusalOf(const HttpRequest& request, const wire::Route* route) const;
+    entry::EntryPlan plan(HttpRequest request, const wire::Route& route);
+    std::string serviceFor(const wire::Route& route);
+    CallNumber relayCall(relay::RelayRequest request, ReplyCallback reply);
+    void onCallEnded(CallNumber number, entry::EntryEnd end);
+    void publishSelf();
+    void checkStopped();
+
+    Ports ports_;
+    Settings settings_;
+    Counters counters_;
+    policy::RouteTable table_;
+    fleet::NodeDirectory directory_;
+    fleet::Gossip gossip_;
+    instance::LocalInstance instance_;
+    relay::RelayService relay_;
+    entry::RelaySelector selector_;
+    entry::EntryServices entry_services_;
+    StoreSession store_session_;
+    std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
+    CallNumber last_call_ = 0;
+    std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
+    std::map<CallNumber, relay::RelayService::Number> relayed_;
+    std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;
+    TimerHandle ended_timer_;
+    bool is_stopping_ = false;
+    TimePoint stop_began_{};
+    std::function<void()> stopped_;
+    TimerHandle stop_timer_;
+};
+
+}  // namespace dewcrank::sidecar
--- /dev/null
+++ b/src/sidecar/store_session.cc
@@ -0,0 +1,105 @@
+#include "src/sidecar/store_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewcrank::sidecar {
+
+StoreSession::StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
+                           fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table,
+                           const Knobs& knobs)
+    : clock_(clock),
+      random_(random),
+      log_(log),
+      store_(store),
+      directory_(directory),
+      gossip_(gossip),
+      table_(table),
+      knobs_(knobs),
+      list_pause_(knobs.first_store_pause),
+      table_pause_(knobs.first_store_pause) {}
+
+void StoreSession::start() {
+    announce();
+    readTable();
+}
+
+Duration StoreSession::nextPause(Duration* pause) {
+    const auto spread = static_cast<std::uint64_t>(pause->count());
+    const auto wait = *pause / 2 + Duration(static_cast<std::int64_t>(random_.below(spread)));
+    *pause = std::min(*pause * 2, knobs_.longest_store_pause);
+    return wait;
+}
+
+/// Announced before it is read: of two nodes that start at the same time, the later sees the earlier.
+void StoreSession::announce() {
+    const auto& self = directory_.self();
+    store_.announce({self.name(), self.zone(), self.address()}, [this](bool is_done) {
+        if (is_done) {
+            list();
+            return;
+        }
+        log_.write(Event("store_failed").with("step", "announce"));
+        list_timer_ = clock_.startTimer(nextPause(&list_pause_), [this] { announce(); });
+    });
+}
+
+void StoreSession::list() {
+    store_.listNodes([this](const std::optional<std::vector<NodeAddress>>& nodes) {
+        if (nodes) {
+            onList(*nodes);
+            return;
+        }
+        log_.write(Event("store_failed").with("step", "list"));
+        list_timer_ = clock_.startTimer(nextPause(&list_pause_), [this] { list(); });
+    });
+}
+
+void StoreSession::onList(const std::vector<NodeAddress>& nodes) {
+    has_list_ = true;
+    log_.write(Event("nodes_listed").with("count", nodes.size()));
+    for (const auto& node : nodes) {
+        directory_.addAddress(node.name, node.zone, node.address);
+    }
+    for (const auto& node : nodes) {
+        gossip_.exchangeWith(node.name);
+    }
+}
+
+void StoreSession::readTable() {
+    store_.readTable([this](std::optional<TableRead> read) { onTableRead(std::move(read)); });
+}
+
+void StoreSession::watchTable(std::uint64_t revision) {
+    store_.watchTable(revision, knobs_.watch_wait,
+                      [this](std::optional<TableRead> read) { onTableRead(std::move(read)); });
+}
+
+void StoreSession::onTableRead(std::optional<TableRead> read) {
+    if (!read) {
+        log_.write(Event("store_failed").with("step", "table"));
+        table_timer_ = clock_.startTimer(nextPause(&table_pause_), [this] { resumeTable(); });
+        return;
+    }
+    table_pause_ = knobs_.first_store_pause;
+    if (read->table && table_.adopt(std::move(*read->table))) {
+        log_.write(Event("table_adopted").with("version", table_.version()).with("from", "store"));
+    }
+    revision_ = read->revision;
+    resumeTable();
+}
+
+/// A watch that failed goes on from where it was: nothing is lost as long as the history is kept.
+void StoreSession::resumeTable() {
+    if (revision_ == 0) {
+        readTable();
+    } else {
+        watchTable(revision_);
+    }
+}
+
+void StoreSession::withdraw() {
+    store_.withdraw(directory_.self().name(), [](bool) {});
+}
+
+}  // namespace dewcrank::sidecar
--- /dev/null
+++ b/src/sidecar/store_session.h
@@ -0,0 +1,54 @@
+/// @file
+/// A node's dealings with the platform's store: makes itself known, learns of the others, and
+/// follows the table.
+#pragma once
+
+#include "src/fleet/gossip.h"
+#include "src/fleet/node_directory.h"
+#include "src/policy/route_table.h"
+#include "src/ports/clock.h"
+#include "src/ports/control_store.h"
+#include "src/ports/event_log.h"
+#include "src/ports/random_source.h"
+#include "src/sidecar/settings.h"
+
+namespace dewcrank::sidecar {
+
+/// Two chains of calls, each with one call under way: announce, then list; read, then watch.
+class StoreSession {
+public:
+    StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
+                 fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table, const Knobs& knobs);
+    void start();
+    /// Takes this node off the store's list; it is not coming back.
+    void withdraw();
+    /// True once the list of nodes has been read.
+    [[nodiscard]] bool hasList() const { return has_list_; }
+
+private:
+    void announce();
+    void list();
+    void onList(const std::vector<NodeAddress>& nodes);
+    void readTable();
+    void watchTable(std::uint64_t revision);
+    void resumeTable();
+    void onTableRead(std::optional<TableRead> read);
+    Duration nextPause(Duration* pause);
+
+    Clock& clock_;
+    RandomSource& random_;
+    EventLog& log_;
+    ControlStore& store_;
+    fleet::NodeDirectory& directory_;
+    fleet::Gossip& gossip_;
+    policy::RouteTable& table_;
+    const Knobs& knobs_;
+    bool has_list_ = false;
+    std::uint64_t revision_ = 0;  ///< Of the store, from which the watch goes on; 0: read anew.
+    Duration list_pause_;
+    Duration table_pause_;
+    TimerHandle list_timer_;
+    TimerHandle table_timer_;
+};
+
+}  // namespace dewcrank::sidecar
