Refuse whole trees at their entry by the level that the bottleneck works out

Change: relays learn which routes are inner (who calls them), queue by remaining slack and priority, let inner calls wait for half of their time, and correct a level once per loop delay by target / demand; levels travel with answers, up the call graph; entries admit callers' requests by it, the least urgent refused first.

--- /dev/null
+++ b/src/entry/admission.cc
@@ -0,0 +1,86 @@
+#include "src/entry/admission.h"
+
+#include <algorithm>
+
+namespace dewcrank::entry {
+
+namespace {
+/// The counts of arrivals are multiplied by this once an interval: a memory of two seconds.
+constexpr double kArrivalFade = 0.95;
+constexpr Duration kFadeInterval = 100ms;
+}  // namespace
+
+Admission::Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs)
+    : clock_(clock), random_(random), knobs_(knobs) {}
+
+void Admission::onReport(const std::string& service, const Bottleneck& bottleneck) {
+    bottlenecks_[service] = bottleneck.service;
+    auto& control = controls_[bottleneck.service];
+    const auto now = clock_.now();
+    const bool is_old = now - control.reported > knobs_.level_memory;
+    const double weight = is_old ? 1 : knobs_.report_weight;
+    control.level += (bottleneck.level - control.level) * weight;
+    control.reported = now;
+}
+
+double Admission::shareOf(const Control& control) const {
+    const auto age = static_cast<double>((clock_.now() - control.reported).count());
+    const double faded = age / static_cast<double>(knobs_.level_memory.count()) - 1;
+    return control.level + (1 - control.level) * std::clamp(faded, 0.0, 1.0);
+}
+
+void Admission::fade(Control& control) {
+    if (clock_.now() - control.faded < kFadeInterval) {
+        return;
+    }
+    control.faded = clock_.now();
+    for (auto& [priority, count] : control.arrivals) {
+        count *= kArrivalFade;
+    }
+}
+
+/// What is to be refused is taken from the least urgent first: from each priority down to its
+/// fair share, and only then from each down to nothing.
+double Admission::admittedOf(const Control& control, std::uint32_t priority) const {
+    double total = 0;
+    for (const auto& [other, count] : control.arrivals) {
+        total += count;
+    }
+    double to_refuse = (1 - shareOf(control)) * total;
+    std::map<std::uint32_t, double> admitted;
+    for (const double least : {knobs_.fair_share, 0.0}) {
+        for (auto entry = control.arrivals.rbegin(); entry != control.arrivals.rend(); ++entry) {
+            auto& share = admitted.try_emplace(entry->first, 1.0).first->second;
+            const double refused = std::min(to_refuse, (share - least) * entry->second);
+            if (entry->second > 0) {
+                share -= refused / entry->second;
+            }
+            to_refuse -= refused;
+        }
+    }
+    const auto found = admitted.find(priority);
+    return found == admitted.end() ? 1.0 : found->second;
+}
+
+bool Admission::admits(const std::string& service, std::uint32_t priority) {
+    const auto bottleneck = bottlenecks_.find(service);
+    if (bottleneck == bottlenecks_.end()) {
+        return true;
+    }
+    auto& control = controls_[bottleneck->second];
+    fade(control);
+    control.arrivals[priority] += 1;
+    return shareOf(control) >= 1 || random_.unit() < admittedOf(control, priority);
+}
+
+Admission::State Admission::leastShare() const {
+    State least;
+    for (const auto& [bottleneck, control] : controls_) {
+        if (shareOf(control) < least.share) {
+            least = {bottleneck, shareOf(control)};
+        }
+    }
+    return least;
+}
+
+}  // namespace dewcrank::entry
--- /dev/null
+++ b/src/entry/admission.h
@@ -0,0 +1,67 @@
+/// @file
+/// Refuses whole trees of calls at their entry, before any hop has worked, by the level of the
+/// service that is the bottleneck below. The idea of levels that follow the load of a service
+/// and are applied upstream is DAGOR's (Zhou et al., SoCC 2018).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/base/time.h"
+#include "src/ports/clock.h"
+#include "src/ports/random_source.h"
+
+namespace dewcrank::entry {
+
+/// The service at or below a service of which least is to be asked, as a relay reports it.
+struct Bottleneck {
+    std::string service;
+    double level = 1;  ///< Share of the requests to admit.
+};
+
+/// Constants of the admission.
+struct AdmissionKnobs {
+    /// Each priority is admitted at this share before the next more urgent one is reduced.
+    double fair_share = 0.5;
+    /// A level counts for this long after its last report, and then fades to 1 over the same time.
+    Duration level_memory = 1s;
+    double report_weight = 0.2;  ///< Of one report in the moving average of a level.
+};
+
+/// The share of requests that this entry admits, for each bottleneck that relays have reported.
+class Admission {
+public:
+    Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs);
+
+    /// Decides on a caller's request for a service. @param priority 0 is refused last.
+    bool admits(const std::string& service, std::uint32_t priority);
+    /// A relay of `service` has reported its bottleneck.
+    void onReport(const std::string& service, const Bottleneck& bottleneck);
+    /// The bottleneck for which least is admitted.
+    struct State {
+        std::string bottleneck;
+        double share = 1;
+    };
+    [[nodiscard]] State leastShare() const;
+
+private:
+    struct Control {
+        double level = 1;
+        TimePoint reported{};
+        TimePoint faded{};
+        std::map<std::uint32_t, double> arrivals;  ///< By priority, fading.
+    };
+    [[nodiscard]] double shareOf(const Control& control) const;
+    void fade(Control& control);
+    [[nodiscard]] double admittedOf(const Control& control, std::uint32_t priority) const;
+
+    Clock& clock_;
+    RandomSource& random_;
+    AdmissionKnobs knobs_;
+    std::map<std::string, std::string> bottlenecks_;  ///< By service.
+    std::map<std::string, Control> controls_;         ///< By bottleneck.
+};
+
+}  // namespace dewcrank::entry
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// Ranks: the row's priority, and within it requests that were sent before first.
-std::uint32_t rankOf(const wire::Route& route) {
-    return route.priority();
-}
-
 std::string secondsText(Duration duration) {
     char text[32];
     std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1e6);
@@ -31,6 +26,10 @@
     stopAttempt();
 }
 
+void EntryCall::refuse(const char* reason) {
+    giveUp(reason, false);
+}
+
 void EntryCall::start() {
     deadline_timer_ = services_.clock.startTimer(remaining(), [this] { onDeadline(); });
     sendToNext();
@@ -56,7 +55,9 @@
     request.request = plan_.request;
     request.instance = target.instance;
     request.is_repeat = offered_ > 0;
-    request.rank = rankOf(plan_.route);
+    request.was_refused = tried_.size() > 1;
+    request.route = plan_.route.name();
+    request.priority = plan_.route.priority();
     request.deadline = plan_.deadline - services_.knobs.relay_margin;
     request.longest_wait = share;
     return request;
@@ -106,6 +107,7 @@
     services_.selector.onEnded(relay);
     if (result.has_load) {
         services_.selector.onLoad(relay, result.load);
+        services_.observe(plan_, result);
     }
     offered_ += result.was_offered ? 1 : 0;
     switch (result.outcome) {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -36,6 +36,14 @@
     Duration relay_margin = 20ms;
 };
 
+/// A call that has been matched to a route.
+struct EntryPlan {
+    HttpRequest request;  ///< Without what concerns the caller's connection only.
+    wire::Route route;
+    std::string service;
+    TimePoint deadline{};
+};
+
 /// What calls use of their node. Outlives every call.
 struct EntryServices {
     Clock& clock;
@@ -49,20 +57,14 @@
     const policy::RouteTable& table;
     HeaderNames names;
     EntryKnobs knobs;
+    /// Told of each result that a relay has reported.
+    std::function<void(const EntryPlan&, const relay::RelayResult&)> observe;
     Weakening weakening;  ///< Tests only.
 };
 
 /// How a call ended at its entry.
 enum class EntryEnd { kAnswered, kRefused, kUnknown };
 
-/// A call that has been matched to a route.
-struct EntryPlan {
-    HttpRequest request;  ///< Without what concerns the caller's connection only.
-    wire::Route route;
-    std::string service;
-    TimePoint deadline{};
-};
-
 /// State machine of one call: choose a relay, send, judge; again at another relay while the
 /// request has provably not run, or may run twice and budget and attempts allow it.
 ///
@@ -79,6 +81,8 @@
     EntryCall& operator=(const EntryCall&) = delete;
 
     void start();
+    /// Refuses the call instead of starting it.
+    void refuse(const char* reason);
 
 private:
     void sendToNext();
--- a/src/relay/instance_queue.cc
+++ b/src/relay/instance_queue.cc
@@ -11,11 +11,11 @@
     serve();
 }
 
-Duration InstanceQueue::expectedWait(std::uint32_t rank) const {
+Duration InstanceQueue::expectedWait(TimePoint order) const {
     if (running_ < limit_ && waiting_.empty()) {
         return {};
     }
-    const auto end = waiting_.upper_bound({rank, std::numeric_limits<std::uint64_t>::max()});
+    const auto end = waiting_.upper_bound({order, std::numeric_limits<std::uint64_t>::max()});
     const auto ahead = std::distance(waiting_.begin(), end);
     const auto slots = std::max<std::int64_t>(1, limit_);
     return mean_time_ * (ahead + 1) / slots;
@@ -28,28 +28,28 @@
         return 0;
     }
     const auto now = clock_.now();
-    if (now + expectedWait(request.rank) > request.give_up_at) {
+    if (now + expectedWait(request.order) > request.give_up_at) {
         callback(Decision::kTooLong);
         return 0;
     }
     const auto ticket = ++last_ticket_;
-    const Key key{request.rank, ticket};
+    const Key key{request.order, ticket};
     auto& waiter = waiting_[key];
-    ranks_[ticket] = request.rank;
+    orders_[ticket] = request.order;
     waiter.callback = std::move(callback);
     waiter.timer = clock_.startTimer(request.give_up_at - now, [this, key] {
         auto expired = waiting_.extract(key);
-        ranks_.erase(key.second);
+        orders_.erase(key.second);
         expired.mapped().callback(Decision::kTimedOut);
     });
     return ticket;
 }
 
 void InstanceQueue::cancel(std::uint64_t ticket) {
-    const auto rank = ranks_.find(ticket);
-    if (rank != ranks_.end()) {
-        waiting_.erase({rank->second, ticket});
-        ranks_.erase(rank);
+    const auto order = orders_.find(ticket);
+    if (order != orders_.end()) {
+        waiting_.erase({order->second, ticket});
+        orders_.erase(order);
     }
 }
 
@@ -65,7 +65,7 @@
 void InstanceQueue::serve() {
     while (running_ < limit_ && !waiting_.empty()) {
         auto next = waiting_.extract(waiting_.begin());
-        ranks_.erase(next.key().second);
+        orders_.erase(next.key().second);
         ++running_;
         next.mapped().callback(Decision::kGo);
     }
--- a/src/relay/instance_queue.h
+++ b/src/relay/instance_queue.h
@@ -1,5 +1,5 @@
 /// @file
-/// Lets requests into one instance: as many at once as it has slots, the most urgent first.
+/// Lets requests into one instance: as many at once as it has slots, the most pressing first.
 #pragma once
 
 #include <cstdint>
@@ -21,7 +21,7 @@
 
 /// A request that asks to be let in.
 struct QueueRequest {
-    std::uint32_t rank = 0;  ///< Lower ranks go first.
+    TimePoint order{};       ///< Earlier ones go first.
     TimePoint give_up_at{};  ///< Leaves the queue then at the latest.
 };
 
@@ -48,13 +48,13 @@
     void cancel(std::uint64_t ticket);
     /// A request that was let in has ended. @param time that it took; zero if it tells nothing.
     void leave(Duration time);
-    /// How long a request of this rank would wait now.
-    [[nodiscard]] Duration expectedWait(std::uint32_t rank) const;
+    /// How long a request of this place in the order would wait now.
+    [[nodiscard]] Duration expectedWait(TimePoint order) const;
     [[nodiscard]] QueueLoad load() const;
     [[nodiscard]] Duration meanTime() const { return mean_time_; }
 
 private:
-    using Key = std::pair<std::uint32_t, std::uint64_t>;  ///< Rank, then order of arrival.
+    using Key = std::pair<TimePoint, std::uint64_t>;  ///< Order, then arrival.
     struct Waiter {
         Callback callback;
         TimerHandle timer;
@@ -68,7 +68,7 @@
     Duration mean_time_;
     std::uint64_t last_ticket_ = 0;
     std::map<Key, Waiter> waiting_;
-    std::map<std::uint64_t, std::uint32_t> ranks_;  ///< By ticket.
+    std::map<std::uint64_t, TimePoint> orders_;  ///< By ticket.
 };
 
 }  // namespace dewcrank::relay
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -54,7 +54,8 @@
 }
 
 RelayService::RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
-                           const HeaderNames& names, std::string instance_address, RelayKnobs knobs)
+                           const HeaderNames& names, std::string instance_address, CallerCensus::ShareOf share_of,
+                           RelayKnobs knobs)
     : clock_(clock),
       log_(log),
       instances_(instances),
@@ -63,7 +64,9 @@
       instance_address_(std::move(instance_address)),
       knobs_(knobs),
       queue_(clock, knobs.queue),
-      repeats_(knobs.repeats) {
+      repeats_(knobs.repeats),
+      census_(clock, std::move(share_of)),
+      level_(knobs.level) {
     instance_.signalChanged().connect([this] {
         if (instance_.isReady()) {
             queue_.setLimit(instance_.record().slots());
@@ -105,14 +108,32 @@
     if (!running.request.is_repeat) {
         repeats_.onFirst(clock_.now());
     }
-    const auto give_up_at = std::min(running.request.deadline, clock_.now() + running.request.longest_wait);
-    const auto ticket =
-        queue_.enter({running.request.rank, give_up_at},
-                     [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
-    running.ticket = ticket;
+    enterQueue(number);
     return number;
 }
 
+/// Requests are let in by the time until which they can wait, and by priority.
+void RelayService::enterQueue(Number number) {
+    auto& running = *running_[number];
+    auto& request = running.request;
+    const auto now = clock_.now();
+    census_.onRequest(request.route, std::string(request.request.headers.get(names_.caller_service)));
+    if (census_.isInner(request.route)) {
+        const auto share = std::chrono::duration_cast<Duration>((request.deadline - now) * knobs_.inner_wait_share);
+        request.longest_wait = std::max(request.longest_wait, share);
+    }
+    level_.update(now, queue_.meanTime(), instance_.record().slots());
+    if (!request.was_refused) {
+        const auto load = queue_.load();
+        level_.onArrival(now, load.running >= load.limit);
+    }
+    QueueRequest entering;
+    entering.give_up_at = std::min(request.deadline, now + request.longest_wait);
+    entering.order = entering.give_up_at + knobs_.priority_step * request.priority;
+    running.ticket =
+        queue_.enter(entering, [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
+}
+
 void RelayService::refuseLater(Number number, RelayReason reason) {
     running_[number]->refusal = clock_.startTimer(Duration::zero(), [this, number, reason] {
         RelayResult result;
@@ -216,6 +237,7 @@
     }
     result.load = queue_.load();
     result.has_load = true;
+    result.is_inner = census_.isInner(running.request.route);
     running.callback(std::move(result));
 }
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -16,6 +16,8 @@
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
+#include "src/relay/caller_census.h"
+#include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
 #include "src/retry/repeat_budget.h"
 
@@ -24,11 +26,13 @@
 /// What an entry node asks a relay for.
 struct RelayRequest {
     HttpRequest request;
-    std::string instance;     ///< The only instance that may run it.
-    bool is_repeat = false;   ///< An instance was sent this request before.
-    std::uint32_t rank = 0;   ///< Lower ranks are let in first.
-    TimePoint deadline{};     ///< The instance must have answered by then.
-    Duration longest_wait{};  ///< In the queue.
+    std::string instance;        ///< The only instance that may run it.
+    bool is_repeat = false;      ///< An instance was sent this request before.
+    bool was_refused = false;    ///< Another relay has refused it before.
+    std::string route;           ///< Its name in the table.
+    std::uint32_t priority = 0;  ///< 0 is the most urgent.
+    TimePoint deadline{};        ///< The instance must have answered by then.
+    Duration longest_wait{};     ///< In the queue; inner calls may wait longer.
 };
 
 /// How a relayed request ended.
@@ -62,6 +66,9 @@
     HttpAnswer answer;         ///< Only with kAnswered.
     QueueLoad load;
     bool has_load = false;
+    bool is_inner = false;   ///< The route is called by instances, not by callers.
+    std::string bottleneck;  ///< The service at or below the instance's of which least is to be asked.
+    double level = 1;        ///< The share of the requests to it that should be admitted.
 };
 
 /// Constants of a relay.
@@ -70,6 +77,12 @@
     retry::RepeatBound repeats;
     /// Less time than this left: the request is not sent.
     Duration least_remaining = 5ms;
+    /// Inner calls may wait for this part of the time that they have left: what was done for
+    /// them would be wasted.
+    double inner_wait_share = 0.5;
+    /// Each step of priority counts like this much longer in the queue.
+    Duration priority_step = 100ms;
+    LevelKnobs level;
     Weakening weakening;  ///< Tests only.
 };
 
@@ -80,7 +93,8 @@
     using Callback = std::function<void(RelayResult)>;
 
     RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
-                 const HeaderNames& names, std::string instance_address, RelayKnobs knobs);
+                 const HeaderNames& names, std::string instance_address, CallerCensus::ShareOf share_of,
+                 RelayKnobs knobs);
     ~RelayService();
     RelayService(const RelayService&) = delete;
     RelayService& operator=(const RelayService&) = delete;
@@ -95,6 +109,7 @@
     void setRelayCount(std::size_t count) { relay_count_ = count; }
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
+    [[nodiscard]] const DemandLevel& level() const { return level_; }
 
 private:
     struct Running {
@@ -108,6 +123,7 @@
     };
     [[nodiscard]] bool takes(const std::string& instance) const;
     [[nodiscard]] RelayReason refusalOf(const RelayRequest& request);
+    void enterQueue(Number number);
     void refuseLater(Number number, RelayReason reason);
     void onDecision(Number number, InstanceQueue::Decision decision);
     void send(Number number);
@@ -125,6 +141,8 @@
     RelayKnobs knobs_;
     InstanceQueue queue_;
     retry::RepeatBudget repeats_;
+    CallerCensus census_;
+    DemandLevel level_;
     std::size_t relay_count_ = 1;
     bool is_stopping_ = false;
     Number last_number_ = 0;
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -13,7 +13,8 @@
 
 constexpr std::string_view kInstance = "dewcrank-relay-instance";
 constexpr std::string_view kRepeat = "dewcrank-relay-repeat";
-constexpr std::string_view kRank = "dewcrank-relay-rank";
+constexpr std::string_view kRoute = "dewcrank-relay-route";
+constexpr std::string_view kPriority = "dewcrank-relay-priority";
 constexpr std::string_view kDeadline = "dewcrank-relay-deadline-us";
 constexpr std::string_view kWait = "dewcrank-relay-wait-us";
 constexpr std::string_view kSender = "dewcrank-relay-sender";
@@ -22,6 +23,11 @@
 constexpr std::string_view kReason = "dewcrank-relay-reason";
 constexpr std::string_view kOffered = "dewcrank-relay-offered";
 constexpr std::string_view kLoad = "dewcrank-relay-load";
+constexpr std::string_view kInner = "dewcrank-relay-inner";
+constexpr std::string_view kBottleneck = "dewcrank-relay-bottleneck";
+constexpr std::string_view kLevel = "dewcrank-relay-level-permille";
+constexpr std::string_view kRefused = "dewcrank-relay-refused";
+constexpr double kPermille = 1000;
 
 constexpr std::array<std::string_view, 3> kOutcomeNames = {"answered", "not-run", "unknown"};
 
@@ -50,7 +56,9 @@
     auto message = request.request;
     message.headers.set(kInstance, request.instance);
     message.headers.set(kRepeat, request.is_repeat ? "1" : "0");
-    message.headers.set(kRank, std::to_string(request.rank));
+    message.headers.set(kRefused, request.was_refused ? "1" : "0");
+    message.headers.set(kRoute, request.route);
+    message.headers.set(kPriority, std::to_string(request.priority));
     message.headers.set(kDeadline, std::to_string((request.deadline - now).count()));
     message.headers.set(kWait, std::to_string(request.longest_wait.count()));
     addPeer(message.headers, sender);
@@ -64,7 +72,9 @@
     RelayRequest relayed;
     relayed.instance = request.headers.get(kInstance);
     relayed.is_repeat = numberIn(request.headers, kRepeat) != 0;
-    relayed.rank = static_cast<std::uint32_t>(numberIn(request.headers, kRank));
+    relayed.was_refused = numberIn(request.headers, kRefused) != 0;
+    relayed.route = request.headers.get(kRoute);
+    relayed.priority = static_cast<std::uint32_t>(numberIn(request.headers, kPriority));
     relayed.deadline = now + Duration(numberIn(request.headers, kDeadline));
     relayed.longest_wait = Duration(numberIn(request.headers, kWait));
     request.headers.removePrefix(kRelayHeaderPrefix);
@@ -83,6 +93,9 @@
     answer.headers.set(kOffered, result.was_offered ? "1" : "0");
     answer.headers.set(kLoad, std::to_string(result.load.running) + "," + std::to_string(result.load.waiting) + "," +
                                   std::to_string(result.load.limit));
+    answer.headers.set(kInner, result.is_inner ? "1" : "0");
+    answer.headers.set(kBottleneck, result.bottleneck);
+    answer.headers.set(kLevel, std::to_string(static_cast<int>(result.level * kPermille)));
     addPeer(answer.headers, sender);
     return answer;
 }
@@ -102,6 +115,9 @@
     result.was_offered = numberIn(answer.headers, kOffered) != 0;
     result.load = parseLoad(answer.headers.get(kLoad));
     result.has_load = true;
+    result.is_inner = numberIn(answer.headers, kInner) != 0;
+    result.bottleneck = answer.headers.get(kBottleneck);
+    result.level = static_cast<double>(numberIn(answer.headers, kLevel)) / kPermille;
     answer.headers.removePrefix(kRelayHeaderPrefix);
     result.answer = std::move(answer);
     return result;
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -7,6 +7,7 @@
 #include "src/base/header_names.h"
 #include "src/base/time.h"
 #include "src/base/weakening.h"
+#include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
@@ -20,9 +21,12 @@
     fleet::GossipKnobs gossip;
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
+    entry::AdmissionKnobs admission;
     relay::RelayKnobs relay;
     /// An instance that is silent for longer counts as unknown.
     Duration longest_silence = 8s;
+    /// What an inner call has shown of the services below counts for this long.
+    Duration below_memory = 1s;
     /// Waits between tries to reach the store: doubled from the first to the longest.
     Duration first_store_pause = 200ms;
     Duration longest_store_pause = 2s;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kStopCheck = 50ms;
+constexpr Duration kLoadLogInterval = 1s;
+constexpr double kLoggedDemand = 0.8;
 constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
@@ -49,21 +51,25 @@
       directory_(ports.clock, settings_.knobs.directory, firstRecord(settings_)),
       gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, settings_.knobs.gossip),
       instance_(ports.clock, settings_.knobs.longest_silence),
-      relay_(ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
-             settings_.knobs.relay),
+      relay_(
+          ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
+          [this](const std::string& service) { return machineShare(service); }, settings_.knobs.relay),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
-      entry_services_{ports.clock,
-                      ports.random,
-                      ports.log,
-                      ports.nodes,
-                      selector_,
-                      relay_,
-                      directory_,
-                      gossip_,
-                      table_,
-                      settings_.header_names,
-                      settings_.knobs.entry,
-                      settings_.knobs.weakening},
+      admission_(ports.clock, ports.random, settings_.knobs.admission),
+      entry_services_{
+          ports.clock,
+          ports.random,
+          ports.log,
+          ports.nodes,
+          selector_,
+          relay_,
+          directory_,
+          gossip_,
+          table_,
+          settings_.header_names,
+          settings_.knobs.entry,
+          [this](const entry::EntryPlan& plan, const relay::RelayResult& result) { onRelayResult(plan, result); },
+          settings_.knobs.weakening},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
     instance_.signalChanged().connect([this] { publishSelf(); });
     directory_.signalChanged().connect(
@@ -78,6 +84,26 @@
 void SidecarNode::start() {
     gossip_.start();
     store_session_.start();
+    logLoad();
+}
+
+/// Once a second, while the instance is pressed or callers are refused.
+void SidecarNode::logLoad() {
+    load_timer_ = ports_.clock.startTimer(kLoadLogInterval, [this] { logLoad(); });
+    const auto load = relay_.load();
+    const auto least = admission_.leastShare();
+    if (relay_.level().demand() < kLoggedDemand && least.share >= 1) {
+        return;
+    }
+    ports_.log.write(Event("load")
+                         .with("service", settings_.service)
+                         .with("running", load.running)
+                         .with("waiting", load.waiting)
+                         .with("limit", load.limit)
+                         .with("demand", relay_.level().demand())
+                         .with("level", relay_.level().level())
+                         .with("least_share", least.share)
+                         .with("bottleneck", least.bottleneck));
 }
 
 bool SidecarNode::isReady() const {
@@ -131,10 +157,16 @@
         return 0;
     }
     const auto number = ++last_call_;
-    auto call = std::make_unique<entry::EntryCall>(entry_services_, plan(std::move(request), *route), std::move(reply),
+    auto planned = plan(std::move(request), *route);
+    const bool is_admitted = isAdmitted(planned);
+    auto call = std::make_unique<entry::EntryCall>(entry_services_, std::move(planned), std::move(reply),
                                                    [this, number](entry::EntryEnd end) { onCallEnded(number, end); });
     auto& started = *(calls_[number] = std::move(call));
-    started.start();
+    if (is_admitted) {
+        started.start();
+    } else {
+        started.refuse("bottleneck");
+    }
     return calls_.contains(number) ? number : 0;
 }
 
@@ -168,6 +200,54 @@
     return other == route.parts().end() ? chosen : other->service();
 }
 
+/// Inner calls are never refused here: what was done for them would be wasted.
+bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
+    return inner_routes_.contains(plan.route.name()) || admission_.admits(plan.service, plan.route.priority());
+}
+
+double SidecarNode::machineShare(const std::string& service) const {
+    std::size_t all = 1;
+    std::size_t same = settings_.service == service ? 1 : 0;
+    for (const auto& [name, node] : directory_.others()) {
+        if (!node.record.instance().service().empty()) {
+            ++all;
+            same += node.record.instance().service() == service ? 1 : 0;
+        }
+    }
+    return static_cast<double>(same) / static_cast<double>(all);
+}
+
+/// The own instance, or what its inner calls have met, whichever is to be asked less.
+void SidecarNode::addBottleneck(relay::RelayResult* result) const {
+    result->bottleneck = settings_.service;
+    result->level = relay_.level().level();
+    for (const auto& [service, below] : below_) {
+        const bool is_recent = ports_.clock.now() - below.reported < settings_.knobs.below_memory;
+        if (is_recent && below.bottleneck.level < result->level) {
+            result->bottleneck = below.bottleneck.service;
+            result->level = below.bottleneck.level;
+        }
+    }
+}
+
+void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
+    if (result.bottleneck.empty()) {
+        addBottleneck(&result);  // The own relay's.
+    }
+    if (result.is_inner) {
+        inner_routes_.insert(plan.route.name());
+        auto& below = below_[plan.service];
+        constexpr double kWeight = 0.2;
+        const bool is_same = below.bottleneck.service == result.bottleneck;
+        const double former = is_same ? below.bottleneck.level : result.level;
+        below.bottleneck = {result.bottleneck, former + (result.level - former) * kWeight};
+        below.reported = ports_.clock.now();
+        return;
+    }
+    inner_routes_.erase(plan.route.name());
+    admission_.onReport(plan.service, {result.bottleneck, result.level});
+}
+
 /// The call that has just ended is still on the stack: it is destroyed from a timer.
 void SidecarNode::onCallEnded(CallNumber number, entry::EntryEnd end) {
     counters_.answered += end == entry::EntryEnd::kAnswered ? 1 : 0;
@@ -202,6 +282,7 @@
     const auto number = ++last_call_;
     relayed_[number] = relay_.start(std::move(request), [this, number, reply](relay::RelayResult result) {
         relayed_.erase(number);
+        addBottleneck(&result);
         reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
     });
     return number;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -7,9 +7,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
 #include "src/fleet/gossip.h"
@@ -91,7 +93,12 @@
     entry::EntryPlan plan(HttpRequest request, const wire::Route& route);
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, ReplyCallback reply);
+    [[nodiscard]] double machineShare(const std::string& service) const;
+    void addBottleneck(relay::RelayResult* result) const;
+    void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
+    [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
     void onCallEnded(CallNumber number, entry::EntryEnd end);
+    void logLoad();
     void publishSelf();
     void onLedAway();
     void checkStopped();
@@ -105,14 +112,23 @@
     instance::LocalInstance instance_;
     relay::RelayService relay_;
     entry::RelaySelector selector_;
+    entry::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
+    std::set<std::string> inner_routes_;  ///< As relays have told.
+    /// The bottleneck below this node's instance, as its inner calls have shown.
+    struct Below {
+        entry::Bottleneck bottleneck;
+        TimePoint reported{};
+    };
+    std::map<std::string, Below> below_;                      ///< By service that the instance calls.
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
     std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
     std::map<CallNumber, relay::RelayService::Number> relayed_;
     std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;
     TimerHandle ended_timer_;
+    TimerHandle load_timer_;
     bool is_stopping_ = false;
     TimePoint stop_began_{};
     std::function<void()> led_away_;
