--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -8,6 +8,8 @@
 /// The counts of arrivals are multiplied by this once an interval: a memory of two seconds.
 constexpr double kArrivalFade = 0.95;
 constexpr Duration kFadeInterval = 100ms;
+/// Ranks from this on are of repeats: they come after all priorities.
+constexpr std::uint32_t kRepeatRank = 1000;
 }  // namespace
 
 Admission::Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs)
@@ -41,16 +43,17 @@
 
 /// What is to be refused is taken from the least urgent first: from each priority down to its
 /// fair share, and only then from each down to nothing.
-double Admission::admittedOf(const Control& control, std::uint32_t priority) const {
+double Admission::admittedOf(const Control& control, std::uint32_t rank) const {
     double total = 0;
     for (const auto& [other, count] : control.arrivals) {
         total += count;
     }
     double to_refuse = (1 - shareOf(control)) * total;
     std::map<std::uint32_t, double> admitted;
-    for (const double least : {knobs_.fair_share, 0.0}) {
+    for (const double fair_share : {knobs_.fair_share, 0.0}) {
         for (auto entry = control.arrivals.rbegin(); entry != control.arrivals.rend(); ++entry) {
             auto& share = admitted.try_emplace(entry->first, 1.0).first->second;
+            const double least = entry->first >= kRepeatRank ? 0.0 : fair_share;
             const double refused = std::min(to_refuse, (share - least) * entry->second);
             if (entry->second > 0) {
                 share -= refused / entry->second;
@@ -58,19 +61,20 @@
             to_refuse -= refused;
         }
     }
-    const auto found = admitted.find(priority);
+    const auto found = admitted.find(rank);
     return found == admitted.end() ? 1.0 : found->second;
 }
 
-bool Admission::admits(const std::string& service, std::uint32_t priority) {
+bool Admission::admits(const std::string& service, std::uint32_t priority, bool is_repeat) {
     const auto bottleneck = bottlenecks_.find(service);
     if (bottleneck == bottlenecks_.end()) {
         return true;
     }
     auto& control = controls_[bottleneck->second];
     fade(control);
-    control.arrivals[priority] += 1;
-    return shareOf(control) >= 1 || random_.unit() < admittedOf(control, priority);
+    const auto rank = priority + (is_repeat ? kRepeatRank : 0);
+    control.arrivals[rank] += 1;
+    return shareOf(control) >= 1 || random_.unit() < admittedOf(control, rank);
 }
 
 Admission::State Admission::leastShare() const {
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -36,7 +36,9 @@
     Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs);
 
     /// Decides on a caller's request for a service. @param priority 0 is refused last.
-    bool admits(const std::string& service, std::uint32_t priority);
+    /// @param is_repeat the caller has asked before: repeats are refused before all others, so
+    /// that impatience gains nothing and what is refused is refused once.
+    bool admits(const std::string& service, std::uint32_t priority, bool is_repeat);
     /// A relay of `service` has reported its bottleneck.
     void onReport(const std::string& service, const Bottleneck& bottleneck);
     /// The bottleneck for which least is admitted.
@@ -51,11 +53,11 @@
         double level = 1;
         TimePoint reported{};
         TimePoint faded{};
-        std::map<std::uint32_t, double> arrivals;  ///< By priority, fading.
+        std::map<std::uint32_t, double> arrivals;  ///< By rank, fading.
     };
     [[nodiscard]] double shareOf(const Control& control) const;
     void fade(Control& control);
-    [[nodiscard]] double admittedOf(const Control& control, std::uint32_t priority) const;
+    [[nodiscard]] double admittedOf(const Control& control, std::uint32_t rank) const;
 
     Clock& clock_;
     RandomSource& random_;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -27,6 +27,7 @@
 }
 
 void EntryCall::refuse(const char* reason) {
+    is_overload_ = true;
     giveUp(reason, false);
 }
 
@@ -55,7 +56,8 @@
     request.request = plan_.request;
     request.instance = target.instance;
     request.is_repeat = offered_ > 0;
-    request.was_refused = tried_.size() > 1;
+    request.is_last_choice =
+        refusals_ + 1 >= services_.knobs.most_refusals || tried_.size() >= services_.selector.relayCount(plan_.service);
     request.route = plan_.route.name();
     request.priority = plan_.route.priority();
     request.deadline = plan_.deadline - services_.knobs.relay_margin;
@@ -123,6 +125,8 @@
 }
 
 void EntryCall::onNotRun(const relay::RelayResult& result) {
+    is_overload_ =
+        result.reason == relay::RelayReason::kQueueTooLong || result.reason == relay::RelayReason::kQueueTimeout;
     const bool is_final = result.reason == relay::RelayReason::kRepeatBudget ||
                           result.reason == relay::RelayReason::kDeadline ||
                           ++refusals_ >= services_.knobs.most_refusals || offered_ >= plan_.route.max_attempts();
@@ -158,6 +162,14 @@
     }
 }
 
+Duration EntryCall::retryAfter() const {
+    const auto& knobs = services_.knobs;
+    const auto least = is_overload_ ? knobs.least_overload_retry_after : knobs.least_retry_after;
+    const auto most = is_overload_ ? knobs.most_overload_retry_after : knobs.most_retry_after;
+    const auto spread = services_.random.below(static_cast<std::uint64_t>((most - least).count()));
+    return least + Duration(static_cast<std::int64_t>(spread));
+}
+
 void EntryCall::giveUp(const char* reason, bool is_timeout) {
     stopAttempt();
     HttpAnswer answer;
@@ -167,11 +179,7 @@
         answer.status = is_timeout ? kHttpGatewayTimeout : kHttpBadGateway;
     } else {
         answer.status = kHttpServiceUnavailable;
-        const auto& knobs = services_.knobs;
-        const auto spread = static_cast<std::uint64_t>((knobs.most_retry_after - knobs.least_retry_after).count());
-        const auto after =
-            knobs.least_retry_after + Duration(static_cast<std::int64_t>(services_.random.below(spread)));
-        answer.headers.set("Retry-After", secondsText(after));
+        answer.headers.set("Retry-After", secondsText(retryAfter()));
     }
     services_.log.write(Event("request_given_up")
                             .with("request", plan_.request.headers.get(services_.names.request_id))
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -30,6 +30,9 @@
     /// When a refused caller may come back: uniform between these.
     Duration least_retry_after = 150ms;
     Duration most_retry_after = 500ms;
+    /// The same under overload, which lasts.
+    Duration least_overload_retry_after = 500ms;
+    Duration most_overload_retry_after = 1600ms;
     /// Less time than this left: no further attempt.
     Duration least_remaining = 10ms;
     /// A relay answers this much before the entry gives up, so that its word is heard.
@@ -42,6 +45,7 @@
     wire::Route route;
     std::string service;
     TimePoint deadline{};
+    double caller_deadline = 0;  ///< Seconds that the caller gives.
 };
 
 /// What calls use of their node. Outlives every call.
@@ -94,6 +98,7 @@
     void onUnknown();
     void onDeadline();
     void giveUp(const char* reason, bool is_timeout);
+    [[nodiscard]] Duration retryAfter() const;
     void stopAttempt();
     void finish(HttpAnswer answer, EntryEnd end);
     [[nodiscard]] Duration remaining() const { return plan_.deadline - services_.clock.now(); }
@@ -110,6 +115,7 @@
     std::size_t refusals_ = 0;
     std::uint32_t offered_ = 0;  ///< Instances that were sent the request.
     bool may_have_run_ = false;
+    bool is_overload_ = false;  ///< Refused for want of room.
 };
 
 }  // namespace dewcrank::entry
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -35,7 +35,8 @@
         cost = cost * knobs_.cold_factor + knobs_.cold_cost;
     }
     if (record.zone() != directory_.self().zone()) {
-        cost += knobs_.other_zone_cost;
+        // A full service is one queue, whatever the zone.
+        cost += knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
     }
     if (is_avoided) {
         cost += knobs_.avoided_cost;
--- a/src/relay/instance_queue.cc
+++ b/src/relay/instance_queue.cc
@@ -72,7 +72,7 @@
 }
 
 QueueLoad InstanceQueue::load() const {
-    return {running_, static_cast<std::uint32_t>(waiting_.size()), limit_};
+    return {running_, static_cast<std::uint32_t>(waiting_.size()), limit_, mean_time_};
 }
 
 }  // namespace dewcrank::relay
--- a/src/relay/instance_queue.h
+++ b/src/relay/instance_queue.h
@@ -30,6 +30,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t limit = 0;
+    Duration mean_time{};  ///< That a request holds a slot for.
 };
 
 /// Owns no request: it counts them, and calls back when one may go or has to give up.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -122,16 +122,17 @@
         const auto share = std::chrono::duration_cast<Duration>((request.deadline - now) * knobs_.inner_wait_share);
         request.longest_wait = std::max(request.longest_wait, share);
     }
-    level_.update(now, queue_.meanTime(), instance_.record().slots());
-    if (!request.was_refused) {
-        const auto load = queue_.load();
-        level_.onArrival(now, load.running >= load.limit);
-    }
     QueueRequest entering;
     entering.give_up_at = std::min(request.deadline, now + request.longest_wait);
     entering.order = entering.give_up_at + knobs_.priority_step * request.priority;
+    const auto load = queue_.load();
     running.ticket =
         queue_.enter(entering, [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
+    // What another relay may still take is not this instance's demand.
+    const bool is_taken = running.ticket != 0 || running.is_let_in;
+    if (is_taken || request.is_last_choice) {
+        level_.onArrival(now, request.route, {load.running, load.waiting, load.limit});
+    }
 }
 
 void RelayService::refuseLater(Number number, RelayReason reason) {
@@ -233,7 +234,11 @@
     auto& running = *ended.mapped();
     if (running.is_let_in) {
         const bool is_measured = result.outcome == RelayOutcome::kAnswered;
-        queue_.leave(is_measured ? clock_.now() - running.sent : Duration::zero());
+        const auto time = clock_.now() - running.sent;
+        if (is_measured) {
+            level_.onAnswered(clock_.now(), running.request.route, time);
+        }
+        queue_.leave(is_measured ? time : Duration::zero());
     }
     result.load = queue_.load();
     result.has_load = true;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -26,13 +26,13 @@
 /// What an entry node asks a relay for.
 struct RelayRequest {
     HttpRequest request;
-    std::string instance;        ///< The only instance that may run it.
-    bool is_repeat = false;      ///< An instance was sent this request before.
-    bool was_refused = false;    ///< Another relay has refused it before.
-    std::string route;           ///< Its name in the table.
-    std::uint32_t priority = 0;  ///< 0 is the most urgent.
-    TimePoint deadline{};        ///< The instance must have answered by then.
-    Duration longest_wait{};     ///< In the queue; inner calls may wait longer.
+    std::string instance;         ///< The only instance that may run it.
+    bool is_repeat = false;       ///< An instance was sent this request before.
+    bool is_last_choice = false;  ///< No other relay will be asked if this one refuses.
+    std::string route;            ///< Its name in the table.
+    std::uint32_t priority = 0;   ///< 0 is the most urgent.
+    TimePoint deadline{};         ///< The instance must have answered by then.
+    Duration longest_wait{};      ///< In the queue; inner calls may wait longer.
 };
 
 /// How a relayed request ended.
@@ -79,7 +79,7 @@
     Duration least_remaining = 5ms;
     /// Inner calls may wait for this part of the time that they have left: what was done for
     /// them would be wasted.
-    double inner_wait_share = 0.5;
+    double inner_wait_share = 0.3;
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     LevelKnobs level;
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -26,7 +26,7 @@
 constexpr std::string_view kInner = "dewcrank-relay-inner";
 constexpr std::string_view kBottleneck = "dewcrank-relay-bottleneck";
 constexpr std::string_view kLevel = "dewcrank-relay-level-permille";
-constexpr std::string_view kRefused = "dewcrank-relay-refused";
+constexpr std::string_view kLastChoice = "dewcrank-relay-last-choice";
 constexpr double kPermille = 1000;
 
 constexpr std::array<std::string_view, 3> kOutcomeNames = {"answered", "not-run", "unknown"};
@@ -41,7 +41,9 @@
 QueueLoad parseLoad(std::string_view text) {
     QueueLoad load;
     const std::string copy(text);
-    std::sscanf(copy.c_str(), "%u,%u,%u", &load.running, &load.waiting, &load.limit);
+    long long mean_time_us = 0;
+    std::sscanf(copy.c_str(), "%u,%u,%u,%lld", &load.running, &load.waiting, &load.limit, &mean_time_us);
+    load.mean_time = Duration(mean_time_us);
     return load;
 }
 
@@ -56,7 +58,7 @@
     auto message = request.request;
     message.headers.set(kInstance, request.instance);
     message.headers.set(kRepeat, request.is_repeat ? "1" : "0");
-    message.headers.set(kRefused, request.was_refused ? "1" : "0");
+    message.headers.set(kLastChoice, request.is_last_choice ? "1" : "0");
     message.headers.set(kRoute, request.route);
     message.headers.set(kPriority, std::to_string(request.priority));
     message.headers.set(kDeadline, std::to_string((request.deadline - now).count()));
@@ -72,7 +74,7 @@
     RelayRequest relayed;
     relayed.instance = request.headers.get(kInstance);
     relayed.is_repeat = numberIn(request.headers, kRepeat) != 0;
-    relayed.was_refused = numberIn(request.headers, kRefused) != 0;
+    relayed.is_last_choice = numberIn(request.headers, kLastChoice) != 0;
     relayed.route = request.headers.get(kRoute);
     relayed.priority = static_cast<std::uint32_t>(numberIn(request.headers, kPriority));
     relayed.deadline = now + Duration(numberIn(request.headers, kDeadline));
@@ -91,8 +93,9 @@
     answer.headers.set(kOutcome, std::string(kOutcomeNames.at(static_cast<std::size_t>(result.outcome))));
     answer.headers.set(kReason, std::to_string(static_cast<int>(result.reason)));
     answer.headers.set(kOffered, result.was_offered ? "1" : "0");
-    answer.headers.set(kLoad, std::to_string(result.load.running) + "," + std::to_string(result.load.waiting) + "," +
-                                  std::to_string(result.load.limit));
+    const auto& load = result.load;
+    answer.headers.set(kLoad, std::to_string(load.running) + "," + std::to_string(load.waiting) + "," +
+                                  std::to_string(load.limit) + "," + std::to_string(load.mean_time.count()));
     answer.headers.set(kInner, result.is_inner ? "1" : "0");
     answer.headers.set(kBottleneck, result.bottleneck);
     answer.headers.set(kLevel, std::to_string(static_cast<int>(result.level * kPermille)));
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -14,6 +14,8 @@
 constexpr Duration kStopCheck = 50ms;
 constexpr Duration kLoadLogInterval = 1s;
 constexpr double kLoggedDemand = 0.8;
+/// A caller that has less than this part of its kind's usual time has asked before.
+constexpr double kFreshShare = 0.97;
 constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
@@ -181,6 +183,7 @@
     request.headers.set(names.caller_service, settings_.service);
     entry::EntryPlan plan;
     plan.route = route;
+    plan.caller_deadline = std::chrono::duration<double>(wanted).count();
     plan.service = serviceFor(route);
     plan.deadline = ports_.clock.now() + (route.timeout_ms() == 0 ? wanted : std::min(wanted, longest));
     plan.request = std::move(request);
@@ -202,7 +205,11 @@
 
 /// Inner calls are never refused here: what was done for them would be wasted.
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
-    return inner_routes_.contains(plan.route.name()) || admission_.admits(plan.service, plan.route.priority());
+    auto& longest = longest_deadlines_[plan.route.name()];
+    longest = std::max(longest, plan.caller_deadline);
+    const bool is_repeat = plan.caller_deadline < longest * kFreshShare;
+    return inner_routes_.contains(plan.route.name()) ||
+           admission_.admits(plan.service, plan.route.priority(), is_repeat);
 }
 
 double SidecarNode::machineShare(const std::string& service) const {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -115,7 +115,8 @@
     entry::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
-    std::set<std::string> inner_routes_;  ///< As relays have told.
+    std::map<std::string, double> longest_deadlines_;  ///< Seconds that callers give, by route.
+    std::set<std::string> inner_routes_;               ///< As relays have told.
     /// The bottleneck below this node's instance, as its inner calls have shown.
     struct Below {
         entry::Bottleneck bottleneck;
