Test the parts of the sidecar node and the platform's translation

Ruled out: leaving them to the simulated fleet (a failing part is found late and far from its cause).

--- /dev/null
+++ b/tests/unit/entry/admission_test.cc
@@ -0,0 +1,77 @@
+#include "src/entry/admission.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "src/adapters/seeded_random.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+struct AdmissionFixture {
+    /// Share admitted of each kind, which arrive equally often for two seconds at a level.
+    std::map<std::uint32_t, double> sharesAt(double level, bool with_repeats) {
+        std::map<std::uint32_t, int> admitted;
+        constexpr int kRounds = 2000;
+        for (int round = 0; round < kRounds; ++round) {
+            admission.onReport("desk", {"leaf", level});
+            for (const std::uint32_t priority : {0U, 1U, 2U}) {
+                admitted[priority] += admission.admits("desk", priority, false) ? 1 : 0;
+            }
+            if (with_repeats) {
+                admitted[kRepeat] += admission.admits("desk", 0, true) ? 1 : 0;
+            }
+            time.advance(1ms);
+        }
+        std::map<std::uint32_t, double> shares;
+        for (const auto& [key, count] : admitted) {
+            shares[key] = static_cast<double>(count) / kRounds;
+        }
+        return shares;
+    }
+
+    static constexpr std::uint32_t kRepeat = 9;
+    tests::VirtualTime time;
+    adapters::SeededRandom random{1};
+    entry::Admission admission{time.clock, random, {}};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_entry_admission, AdmissionFixture)
+
+BOOST_AUTO_TEST_CASE(nothing_is_refused_without_a_report_or_at_level_one) {
+    BOOST_TEST(admission.admits("unknown", 7, true));
+    for (const auto& [priority, share] : sharesAt(1, true)) {
+        BOOST_TEST(share == 1, priority);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_least_urgent_are_refused_first_down_to_their_fair_share) {
+    const auto mild = sharesAt(0.9, false);
+    BOOST_TEST(mild.at(0) == 1);
+    BOOST_TEST(mild.at(1) == 1);
+    BOOST_TEST(mild.at(2) < 0.8);
+    const auto hard = sharesAt(0.6, false);
+    BOOST_TEST(hard.at(0) > 0.75);  // 0.8 is left for it.
+    BOOST_TEST(hard.at(1) < 0.7);
+    BOOST_TEST(hard.at(2) > 0.4);
+}
+
+BOOST_AUTO_TEST_CASE(callers_that_ask_again_are_refused_before_all_others) {
+    const auto shares = sharesAt(0.8, true);
+    BOOST_TEST(shares.at(0) == 1);
+    BOOST_TEST(shares.at(2) > 0.95);
+    BOOST_TEST(shares.at(kRepeat) < 0.35);
+}
+
+BOOST_AUTO_TEST_CASE(a_level_that_is_not_reported_any_more_fades) {
+    sharesAt(0.3, false);
+    BOOST_TEST(admission.leastShare().share < 0.4);
+    time.advance(3s);
+    BOOST_TEST(admission.leastShare().share == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -0,0 +1,99 @@
+#include "src/fleet/node_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+wire::NodeRecord recordOf(const std::string& name, std::uint64_t incarnation, std::uint64_t sequence) {
+    wire::NodeRecord record;
+    record.set_name(name);
+    record.set_incarnation(incarnation);
+    record.set_sequence(sequence);
+    record.set_address(name + ":1");
+    return record;
+}
+
+struct DirectoryFixture {
+    tests::VirtualTime time;
+    fleet::NodeDirectory directory{time.clock, {}, recordOf("self", 5, 1)};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_fleet_node_directory, DirectoryFixture)
+
+BOOST_AUTO_TEST_CASE(the_later_record_wins_whatever_the_order_of_arrival) {
+    BOOST_TEST(directory.merge(recordOf("a", 1, 4)));
+    BOOST_TEST(!directory.merge(recordOf("a", 1, 3)));
+    BOOST_TEST(!directory.merge(recordOf("a", 1, 4)));
+    BOOST_TEST(directory.merge(recordOf("a", 2, 0)));
+    BOOST_TEST(!directory.merge(recordOf("a", 1, 9)));
+    BOOST_TEST(directory.find("a")->record.incarnation() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_goes_on_after_a_later_life_that_others_remember) {
+    int changes = 0;
+    directory.signalSelfChanged().connect([&] { ++changes; });
+    BOOST_TEST(!directory.merge(recordOf("self", 8, 2)));
+    BOOST_TEST(directory.self().incarnation() == 9U);
+    BOOST_TEST(changes == 1);
+    BOOST_TEST(!directory.merge(recordOf("self", 3, 7)));
+    BOOST_TEST(directory.self().incarnation() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(failed_contacts_avoid_a_node_for_longer_each_time_until_it_is_reached) {
+    directory.merge(recordOf("a", 1, 1));
+    BOOST_TEST((directory.onUnreachable("a") == 250ms));
+    BOOST_TEST((directory.onUnreachable("a") == 500ms));
+    BOOST_TEST(directory.isAvoided(*directory.find("a")));
+    time.advance(600ms);
+    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
+    for (int count = 0; count < 20; ++count) {
+        BOOST_TEST((directory.onUnreachable("a") <= 2s));
+    }
+    directory.onReached("a");
+    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
+    BOOST_TEST((directory.onUnreachable("a") == 250ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_life_is_not_avoided_for_the_old_one) {
+    directory.merge(recordOf("a", 1, 1));
+    directory.onUnreachable("a");
+    directory.merge(recordOf("a", 2, 1));
+    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
+}
+
+BOOST_AUTO_TEST_CASE(two_directories_tell_each_other_just_what_is_missing) {
+    fleet::NodeDirectory other(time.clock, {}, recordOf("other", 1, 1));
+    directory.merge(recordOf("a", 1, 2));
+    directory.merge(recordOf("b", 1, 1));
+    other.merge(recordOf("a", 1, 1));
+    other.merge(recordOf("c", 1, 1));
+    const auto difference = other.differenceTo(directory.digest());
+    BOOST_TEST(difference.newer.size() == 2U);  // other, c
+    BOOST_TEST(difference.older.size() == 3U);  // a, b, self
+    for (const auto& record : difference.newer) {
+        directory.merge(record);
+    }
+    for (const auto& name : difference.older) {
+        other.merge(*directory.record(name));
+    }
+    BOOST_TEST(other.differenceTo(directory.digest()).newer.empty());
+    BOOST_TEST(other.differenceTo(directory.digest()).older.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_instance_warms_up_as_time_passes) {
+    auto record = recordOf("a", 1, 1);
+    record.mutable_instance()->set_cold_left_ms(800);
+    directory.merge(record);
+    time.advance(300ms);
+    BOOST_TEST((directory.coldLeft(*directory.find("a")) == 500ms));
+    time.advance(1s);
+    BOOST_TEST((directory.coldLeft(*directory.find("a")) == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform/platform_test.cc
@@ -0,0 +1,169 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "platform/config_document.h"
+#include "platform/instance_requests.h"
+#include "platform/object_store.h"
+
+using namespace dewcrank;
+
+namespace {
+
+const char* const kDocument = R"({"Version":"0000001f","Routes":{
+  "r1":{"Host":"a.example","PathPrefix":"/x/","Kind":"unsafe","TimeoutMs":1200,"TargetLatencyMs":1500,"Priority":0,
+        "Service":"s1","MaxAttempts":2},
+  "r2":{"Host":"a.example","PathPrefix":"/y/","Kind":"download","TimeoutMs":900,"TargetLatencyMs":400,"Priority":2,
+        "TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"MaxAttempts":1,"New":true}},
+  "Services":{"s1":{"HealthPath":"/health","MaxConnections":364}},
+  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+/// Answers each call from a list, and keeps what was asked.
+class ScriptedHttp : public BackEndPort {
+public:
+    struct Asked {
+        std::string line;
+        std::string body;
+    };
+    AttemptHandle send(const std::string&, HttpRequest request, Duration, Callback callback) override {
+        asked.push_back({request.method + " " + request.path, request.body});
+        callbacks.push_back(std::move(callback));
+        return std::make_unique<Attempt>();
+    }
+    void answer(int status, const std::string& body) {
+        HttpAnswer answer;
+        answer.status = status;
+        answer.body = body;
+        const auto callback = std::move(callbacks.front());
+        callbacks.erase(callbacks.begin());
+        callback({AttemptOutcome::kAnswered, answer, ""});
+    }
+    void lose() {
+        const auto callback = std::move(callbacks.front());
+        callbacks.erase(callbacks.begin());
+        callback({AttemptOutcome::kUnknown, {}, "timeout"});
+    }
+    std::vector<Asked> asked;
+    std::vector<Callback> callbacks;
+};
+
+struct StoreFixture {
+    ScriptedHttp http;
+    platform::ObjectStore store{http, "10.0.0.1:1"};
+};
+
+class RecordingListener : public InstanceListener {
+public:
+    void onHeartbeat(const instance::Heartbeat& heartbeat) override { heartbeats.push_back(heartbeat); }
+    void onInstanceLeave(const std::string& id) override { left.push_back(id); }
+    std::vector<instance::Heartbeat> heartbeats;
+    std::vector<std::string> left;
+};
+
+HttpRequest post(const std::string& path, const std::string& body) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unit_platform)
+
+BOOST_AUTO_TEST_CASE(a_configuration_becomes_a_table) {
+    const auto table = platform::readConfigDocument(nlohmann::json::parse(kDocument));
+    BOOST_TEST(table.version() == 0x1fU);
+    BOOST_TEST(table.routes_size() == 2);
+    BOOST_TEST(!table.routes(0).is_repeatable());
+    BOOST_TEST(table.routes(0).parts(0).service() == "s1");
+    BOOST_TEST(table.routes(1).is_repeatable());
+    BOOST_TEST(table.routes(1).parts(1).weight() == 10U);
+    BOOST_TEST(table.limits().idle_timeout_ms() == 15000U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_table_is_read_then_watched, StoreFixture) {
+    std::optional<TableRead> read;
+    const auto keep = [&](std::optional<TableRead> result) { read = std::move(result); };
+    store.readTable(keep);
+    http.answer(200, R"({"items":[{"Metadata":{"Name":"main","Revision":4},"Spec":)" + std::string(kDocument) +
+                         R"(}],"More":false,"At":12})");
+    BOOST_TEST(read->revision == 12U);
+    BOOST_TEST(read->table->version() == 0x1fU);
+    store.watchTable(12, 25s, keep);
+    BOOST_TEST(http.asked.back().line.find("?Watch=12&WaitMs=25000") != std::string::npos);
+    http.answer(200, R"({"events":[],"At":15})");
+    BOOST_TEST(read->revision == 15U);
+    BOOST_TEST(!read->table.has_value());
+    store.watchTable(15, 25s, keep);
+    http.answer(410, "");
+    BOOST_TEST(read->revision == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(refusals_losses_and_garbage_are_no_answers, StoreFixture) {
+    const char* const bodies[] = {"", "{", "[]", R"({"items":[{}],"At":1})", R"({"items":3,"At":"x"})"};
+    for (const auto* body : bodies) {
+        bool is_called = false;
+        store.readTable([&](const std::optional<TableRead>& read) {
+            is_called = true;
+            BOOST_TEST(!read.has_value(), body);
+        });
+        http.answer(200, body);
+        BOOST_TEST(is_called);
+    }
+    for (const int status : {429, 503, 404}) {
+        store.readTable([&](const std::optional<TableRead>& read) { BOOST_TEST(!read.has_value()); });
+        http.answer(status, "{}");
+    }
+    store.listNodes([](const std::optional<std::vector<NodeAddress>>& nodes) { BOOST_TEST(!nodes.has_value()); });
+    http.lose();
+}
+
+BOOST_FIXTURE_TEST_CASE(a_node_makes_itself_known_once, StoreFixture) {
+    const NodeAddress node{"n1", "z", "10.0.0.2:5"};
+    int done = 0;
+    const auto count = [&](bool is_done) { done += is_done ? 1 : 0; };
+    store.announce(node, count);
+    http.answer(200, "{}");
+    store.announce(node, count);
+    http.answer(409, R"({"Metadata":{"Name":"n1","Revision":3},"Spec":{"Zone":"z","Address":"10.0.0.2:5"}})");
+    BOOST_TEST(done == 2);
+    BOOST_TEST(http.callbacks.empty());  // The same is there already.
+    store.announce(node, count);
+    http.answer(409, R"({"Metadata":{"Name":"n1","Revision":3},"Spec":{"Zone":"z","Address":"10.0.0.9:5"}})");
+    BOOST_TEST(http.asked.back().line.starts_with("PUT "));
+    BOOST_TEST(http.asked.back().body.find("\"Revision\":3") != std::string::npos);
+    http.answer(200, "{}");
+    BOOST_TEST(done == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_list_of_several_pages_is_read_whole, StoreFixture) {
+    std::size_t count = 0;
+    store.listNodes([&](const std::optional<std::vector<NodeAddress>>& nodes) { count = nodes->size(); });
+    http.answer(200, R"({"items":[{"Metadata":{"Name":"a"},"Spec":{"Address":"1.1.1.1:1"}}],"More":true,"At":1})");
+    BOOST_TEST(http.asked.back().line.ends_with("?after=a"));
+    http.answer(200, R"({"items":[{"Metadata":{"Name":"b"},"Spec":{"Address":"1.1.1.2:1"}}],"More":false,"At":1})");
+    BOOST_TEST(count == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_and_leaving_are_translated_and_bad_ones_refused) {
+    platform::InstanceRequests requests;
+    RecordingListener listener;
+    const std::string body = R"({"Address":"1.1.1.1:1","Info":{"Service":"s","Version":"v1","Zone":"z","Slots":44},)"
+                             R"("Status":{"State":"draining","CallSeq":4,"ColdLeftMs":150}})";
+    BOOST_TEST(requests.handle(post("/dewcrank/Instances.Heartbeat/i-1", body), listener).status == 200);
+    BOOST_REQUIRE(listener.heartbeats.size() == 1U);
+    BOOST_TEST(listener.heartbeats[0].id == "i-1");
+    BOOST_TEST(listener.heartbeats[0].is_draining);
+    BOOST_TEST((listener.heartbeats[0].cold_left == 150ms));
+    BOOST_TEST(requests.handle(post("/dewcrank/Instances.Leave/i-1", ""), listener).status == 200);
+    BOOST_TEST(listener.left.size() == 1U);
+    BOOST_TEST(requests.handle(post("/dewcrank/Instances.Heartbeat/i-1", "{"), listener).status == 400);
+    BOOST_TEST(requests.handle(post("/dewcrank/Instances.Heartbeat/i-1", "{}"), listener).status == 400);
+    BOOST_TEST(requests.handle(post("/other", ""), listener).status == 404);
+    BOOST_TEST(listener.heartbeats.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -0,0 +1,185 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "src/relay/caller_census.h"
+#include "src/relay/demand_level.h"
+#include "src/relay/instance_queue.h"
+#include "src/relay/relay_wire.h"
+#include "src/retry/repeat_budget.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+using relay::InstanceQueue;
+
+BOOST_AUTO_TEST_SUITE(unit_relay)
+
+BOOST_AUTO_TEST_CASE(a_queue_never_lets_in_more_than_its_limit_and_the_most_pressing_first) {
+    tests::VirtualTime time;
+    InstanceQueue queue(time.clock, {});
+    queue.setLimit(2);
+    std::vector<int> let_in;
+    const auto enter = [&](int number, Duration order) {
+        const auto now = time.clock.now();
+        queue.enter({now + order, now + 10s}, [&let_in, number](InstanceQueue::Decision decision) {
+            if (decision == InstanceQueue::Decision::kGo) {
+                let_in.push_back(number);
+            }
+        });
+    };
+    enter(1, 1s);
+    enter(2, 1s);
+    enter(3, 3s);
+    enter(4, 1s);
+    enter(5, 2s);
+    BOOST_TEST(let_in == (std::vector<int>{1, 2}), boost::test_tools::per_element());
+    queue.leave(50ms);
+    queue.leave(50ms);
+    queue.leave(50ms);
+    BOOST_TEST(let_in == (std::vector<int>{1, 2, 4, 5, 3}), boost::test_tools::per_element());
+    BOOST_TEST(queue.load().running == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(who_would_wait_too_long_is_refused_at_once_and_who_does_wait_is_in_time) {
+    tests::VirtualTime time;
+    InstanceQueue queue(time.clock, {0.05, 100ms});
+    queue.setLimit(1);
+    std::vector<InstanceQueue::Decision> decisions;
+    const auto enter = [&](Duration longest_wait) {
+        const auto now = time.clock.now();
+        return queue.enter({now, now + longest_wait},
+                           [&](InstanceQueue::Decision decision) { decisions.push_back(decision); });
+    };
+    enter(1s);
+    BOOST_TEST(enter(50ms) == 0U);  // 100 ms are expected.
+    BOOST_TEST((decisions.back() == InstanceQueue::Decision::kTooLong));
+    BOOST_TEST(enter(150ms) != 0U);
+    time.advance(200ms);
+    BOOST_TEST((decisions.back() == InstanceQueue::Decision::kTimedOut));
+    const auto cancelled = enter(500ms);
+    queue.cancel(cancelled);
+    time.advance(1s);
+    BOOST_TEST(decisions.size() == 3U);
+    BOOST_TEST(queue.load().waiting == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(repeats_stay_within_the_part_of_the_bound) {
+    retry::RepeatBudget budget({0.2, 40, 10s});
+    const TimePoint start(100s);
+    for (int count = 0; count < 100; ++count) {
+        budget.onFirst(start);
+    }
+    int taken = 0;
+    while (budget.tryRepeat(start + 1s, 4)) {
+        ++taken;
+    }
+    BOOST_TEST(taken == 15);  // Half of 0.2 * 100 + 40 / 4.
+    BOOST_TEST(!budget.tryRepeat(start + 9s, 4));
+    BOOST_TEST(budget.tryRepeat(start + 30s, 4));  // The slack alone.
+}
+
+BOOST_AUTO_TEST_CASE(a_route_is_inner_if_its_requests_begin_beside_too_few_services) {
+    tests::VirtualTime time;
+    relay::CallerCensus census(time.clock, [](const std::string&) { return 0.25; });
+    BOOST_TEST(!census.isInner("unseen"));
+    for (int count = 0; count < 20; ++count) {
+        census.onRequest("inner", "desk");
+        census.onRequest("callers", "service" + std::to_string(count % 4));
+    }
+    BOOST_TEST(census.isInner("inner"));
+    BOOST_TEST(!census.isInner("callers"));
+    census.onRequest("new", "desk");
+    BOOST_TEST(!census.isInner("new"));
+}
+
+struct DemandCase {
+    const char* name;
+    int arrivals;  ///< A second.
+    int answers;   ///< A second.
+    relay::Occupancy occupancy;
+    double least;  ///< Bounds of the level after three seconds.
+    double most;
+};
+
+BOOST_AUTO_TEST_CASE(the_level_follows_the_demand) {
+    const DemandCase cases[] = {
+        {"idle", 50, 50, {2, 0, 10}, 1, 1},
+        {"busy, nobody waits", 100, 100, {9, 0, 10}, 1, 1},
+        {"twice the capacity", 200, 100, {10, 5, 10}, 0.15, 0.6},
+        {"a little too much", 110, 100, {10, 1, 10}, 0.6, 0.95},
+        {"far too much", 900, 100, {10, 50, 10}, 0.15, 0.4},
+    };
+    for (const auto& entry : cases) {
+        relay::DemandLevel level{relay::LevelKnobs{}};
+        TimePoint now(100s);
+        for (int step = 0; step < 300; ++step, now += 10ms) {
+            for (int count = 0; count < entry.arrivals / 100; ++count) {
+                level.onArrival(now, "r", entry.occupancy);
+            }
+            if (entry.arrivals % 100 != 0 && step % (100 / (entry.arrivals % 100)) == 0) {
+                level.onArrival(now, "r", entry.occupancy);
+            }
+            for (int count = 0; count < entry.answers / 100; ++count) {
+                level.onAnswered(now, "r", 100ms);
+            }
+            if (entry.answers < 100 && step % (100 / entry.answers) == 0) {
+                level.onAnswered(now, "r", 100ms);
+            }
+        }
+        BOOST_TEST(level.level() >= entry.least, entry.name << ": " << level.level());
+        BOOST_TEST(level.level() <= entry.most, entry.name << ": " << level.level());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_relayed_request_and_its_result_survive_the_way) {
+    relay::RelayRequest request;
+    request.request.method = "POST";
+    request.request.path = "/a?b";
+    request.request.headers.set("x-own", "kept");
+    request.request.body = "body";
+    request.instance = "i1";
+    request.is_repeat = true;
+    request.is_last_choice = true;
+    request.route = "r";
+    request.priority = 3;
+    request.deadline = TimePoint(5s);
+    request.longest_wait = 70ms;
+    auto message = relay::toHttp(request, {"n1", 7}, TimePoint(4s));
+    BOOST_TEST(relay::peerOf(message.headers).table_version == 7U);
+    const auto read = relay::fromHttp(message, TimePoint(9s));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->instance == "i1");
+    BOOST_TEST(read->is_repeat);
+    BOOST_TEST(read->is_last_choice);
+    BOOST_TEST(read->priority == 3U);
+    BOOST_TEST((read->deadline == TimePoint(10s)));  // The time left, on the relay's own clock.
+    BOOST_TEST((read->longest_wait == 70ms));
+    BOOST_TEST(read->request.headers.lines().size() == 1U);
+    BOOST_TEST(read->request.body == "body");
+    BOOST_TEST(!relay::fromHttp(read->request, TimePoint(9s)).has_value());
+
+    for (const auto outcome :
+         {relay::RelayOutcome::kAnswered, relay::RelayOutcome::kNotRun, relay::RelayOutcome::kUnknown}) {
+        relay::RelayResult result;
+        result.outcome = outcome;
+        result.reason = relay::RelayReason::kQueueTooLong;
+        result.was_offered = true;
+        result.answer.status = 418;
+        result.load = {4, 5, 6, 7ms};
+        result.bottleneck = "leaf";
+        result.level = 0.25;
+        const auto back = relay::fromHttp(relay::toHttp(result, {"n2", 8}));
+        BOOST_TEST((back.outcome == outcome));
+        BOOST_TEST((back.reason == result.reason));
+        BOOST_TEST(back.load.waiting == 5U);
+        BOOST_TEST((back.load.mean_time == 7ms));
+        BOOST_TEST(back.bottleneck == "leaf");
+        BOOST_TEST(back.level == 0.25);
+        BOOST_TEST((back.answer.status == 418) == (outcome == relay::RelayOutcome::kAnswered));
+    }
+    HttpAnswer foreign;
+    foreign.status = 200;
+    BOOST_TEST((relay::fromHttp(foreign).outcome == relay::RelayOutcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
