Log each decision within bounds, serve metrics, explain a request from logs

Cause: on-call engineers have only logs and metrics; lines went out blocking, and an answered request left none. Ruled out: O_NONBLOCK on standard output (it is shared with whoever started the process); a log thread. Change: one line a request at its entry and at its relay, bounded a second, written only where the pipe has room; Prometheus text on the metrics address; dewcrank explain ID FILE...

--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "apps/ctl/commands.h"
+#include "apps/ctl/explain.h"
 #include "src/adapters/socket_address.h"
 
 namespace {
@@ -40,6 +41,14 @@
     if (given.count("words") > 0) {
         request.words = given["words"].as<std::vector<std::string>>();
     }
+    constexpr std::size_t kLeastExplainWords = 3;  // The command, a request's id and a file.
+    if (!request.words.empty() && request.words[0] == "explain") {
+        if (request.words.size() < kLeastExplainWords) {
+            std::cerr << "explain: a request's id and one log file at least are expected\n";
+            return dewcrank::ctl::kExitBadInput;
+        }
+        return dewcrank::ctl::explain(request.words[1], {request.words.begin() + 2, request.words.end()});
+    }
     const auto store = given["store"].as<std::string>();
     const bool needs_store = request.words.empty() || request.words[0] != "drain";
     if (needs_store && !dewcrank::adapters::parseSocketAddress(store)) {
--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -47,7 +47,8 @@
                              const PlatformFactory& platform)
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
-      log_(""),
+      process_log_(""),
+      log_(loop_, process_log_, {"request_answered", "relayed"}, {}),
       random_(std::random_device{}()),
       nodes_(loop_, kWideLimits, nodeClient()),
       instances_(loop_, kWideLimits, instanceClient(platform(nodes_, settings_).header_names)),
@@ -64,7 +65,10 @@
                       exchange->reply(platform_.instance_api->handle(request, *this));
                   }),
       readiness_(loop_, kWideLimits, kNodeIdle,
-                 [this](const HttpRequest&, const Exchange& exchange) { onReadinessRequest(exchange); }) {
+                 [this](const HttpRequest&, const Exchange& exchange) { onReadinessRequest(exchange); }),
+      metrics_server_(loop_, kWideLimits, kNodeIdle,
+                      [this](const HttpRequest&, const Exchange& exchange) { onMetricsRequest(exchange); }) {
+    node_.signalCallEnded().connect([this](const entry::EntryReport& report) { metrics_.onCallEnded(report); });
     node_.table().signalAdopted().connect([this] { applyTableLimits(); });
 }
 
@@ -86,6 +90,9 @@
     BOOST_LEAF_CHECK(readiness_.listen(settings_.readiness));
     BOOST_LEAF_CHECK(node_server_.listen(settings_.nodes));
     BOOST_LEAF_CHECK(heartbeats_.listen(settings_.heartbeats));
+    if (settings_.metrics) {
+        BOOST_LEAF_CHECK(metrics_server_.listen(*settings_.metrics));
+    }
     BOOST_LEAF_CHECK(callers_.listen(settings_.callers));
     return {};
 }
@@ -160,6 +167,19 @@
     exchange->reply(answer);
 }
 
+void SidecarDaemon::onMetricsRequest(const Exchange& exchange) {
+    adapters::AdapterFigures figures;
+    figures.caller_connections = callers_.openConnections();
+    figures.instance_connections = instances_.openConnections();
+    figures.instance_connections_begun = instances_.connectionsBegun();
+    figures.log_lines_dropped = adapters::ProcessLog::droppedLines();
+    HttpAnswer answer;
+    answer.status = kHttpOk;
+    answer.headers.set("Content-Type", "text/plain; version=0.0.4");
+    answer.body = metrics_.text(node_, figures);
+    exchange->reply(answer);
+}
+
 void SidecarDaemon::applyTableLimits() {
     const auto& limits = node_.table().whole().limits();
     adapters::HttpLimits http;
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -5,11 +5,13 @@
 #include <memory>
 #include <string>
 
+#include "src/adapters/bounded_log.h"
 #include "src/adapters/event_loop.h"
 #include "src/adapters/http_client.h"
 #include "src/adapters/http_server.h"
 #include "src/adapters/process_log.h"
 #include "src/adapters/seeded_random.h"
+#include "src/adapters/sidecar_metrics.h"
 #include "src/adapters/sidecar_settings.h"
 #include "src/ports/control_store.h"
 #include "src/ports/instance_api.h"
@@ -43,6 +45,7 @@
     void onNodeRequest(HttpRequest request, const Exchange& exchange);
     void watch(const Exchange& exchange, sidecar::SidecarNode::CallNumber number);
     void onReadinessRequest(const Exchange& exchange);
+    void onMetricsRequest(const Exchange& exchange);
     void applyTableLimits();
     void onTerminate();
     void onReload();
@@ -50,7 +53,9 @@
     adapters::SidecarSettings settings_;
     std::string settings_file_;
     adapters::EventLoop loop_;
-    adapters::ProcessLog log_;
+    adapters::ProcessLog process_log_;
+    adapters::BoundedLog log_;
+    adapters::SidecarMetrics metrics_;
     adapters::SeededRandom random_;
     adapters::HttpClient nodes_;
     adapters::HttpClient instances_;
@@ -61,6 +66,7 @@
     adapters::HttpServer node_server_;
     adapters::HttpServer heartbeats_;
     adapters::HttpServer readiness_;
+    adapters::HttpServer metrics_server_;
     TimerHandle flush_timer_;
 };
 
--- a/src/adapters/process_log.cc
+++ b/src/adapters/process_log.cc
@@ -1,30 +1,83 @@
 #include "src/adapters/process_log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
 
 INITIALIZE_EASYLOGGINGPP
 
 namespace dewcrank::adapters {
 
 namespace {
+
 constexpr const char* kLogger = "dewcrank";
-}
+constexpr const char* kSinkName = "unblocked-output";
+
+/// Writes to standard output only what goes without waiting. A pipe that is ready takes PIPE_BUF
+/// bytes at least, so a line up to that size is written whole or not at all.
+class UnblockedOutput : public el::LogDispatchCallback {
+public:
+    static std::uint64_t& dropped() {
+        static std::uint64_t count = 0;
+        return count;
+    }
+
+protected:
+    void handle(const el::LogDispatchData* data) override {
+        auto* logger = data->logMessage()->logger();
+        if (logger->id() != kLogger || !is_on) {
+            return;
+        }
+        auto line = logger->logBuilder()->build(data->logMessage(), true);
+        if (unreported_ > 0) {
+            line = "event=log_lines_dropped count=" + std::to_string(unreported_) + "\n" + line;
+        }
+        if (line.size() > PIPE_BUF) {
+            line.resize(PIPE_BUF - 1);
+            line += '\n';
+        }
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool is_ready = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (is_ready && ::write(STDOUT_FILENO, line.data(), line.size()) > 0) {
+            unreported_ = 0;
+        } else {
+            ++unreported_;
+            ++dropped();
+        }
+    }
+
+public:
+    bool is_on = false;
+
+private:
+    std::uint64_t unreported_ = 0;
+};
+
+}  // namespace
 
 ProcessLog::ProcessLog(const std::string& file) {
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     if (!file.empty()) {
         configuration.setGlobally(el::ConfigurationType::Filename, file);
     }
     el::Loggers::getLogger(kLogger);
     el::Loggers::reconfigureLogger(kLogger, configuration);
+    el::Helpers::installLogDispatchCallback<UnblockedOutput>(kSinkName);
+    el::Helpers::logDispatchCallback<UnblockedOutput>(kSinkName)->is_on = file.empty();
 }
 
 void ProcessLog::write(const Event& event) {
     CLOG(INFO, kLogger) << event.line();
 }
 
+std::uint64_t ProcessLog::droppedLines() {
+    return UnblockedOutput::dropped();
+}
+
 }  // namespace dewcrank::adapters
--- /dev/null
+++ b/src/adapters/sidecar_metrics.cc
@@ -0,0 +1,78 @@
+#include "src/adapters/sidecar_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+namespace dewcrank::adapters {
+
+namespace {
+
+const char* endText(entry::EntryEnd end) {
+    switch (end) {
+        case entry::EntryEnd::kAnswered:
+            return "answered";
+        case entry::EntryEnd::kRefused:
+            return "refused";
+        case entry::EntryEnd::kUnknown:
+            return "unknown";
+    }
+    return "unknown";
+}
+
+/// Upper bounds in seconds.
+const prometheus::Histogram::BucketBoundaries kBuckets = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
+
+}  // namespace
+
+SidecarMetrics::SidecarMetrics()
+    : calls_(prometheus::BuildCounter()
+                 .Name("dewcrank_calls_total")
+                 .Help("Calls at this entry by route, service, end and reason.")
+                 .Register(registry_)),
+      latencies_(prometheus::BuildHistogram()
+                     .Name("dewcrank_call_seconds")
+                     .Help("Time from a call's request to its answer at this entry.")
+                     .Register(registry_)) {}
+
+void SidecarMetrics::onCallEnded(const entry::EntryReport& report) {
+    calls_
+        .Add({{"route", report.route},
+              {"service", report.service},
+              {"end", endText(report.end)},
+              {"reason", report.reason}})
+        .Increment();
+    latencies_.Add({{"route", report.route}, {"end", endText(report.end)}}, kBuckets)
+        .Observe(std::chrono::duration<double>(report.elapsed).count());
+}
+
+void SidecarMetrics::setGauge(const char* name, const char* help, double value) {
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
+}
+
+std::string SidecarMetrics::text(const sidecar::SidecarNode& node, const AdapterFigures& figures) {
+    const auto load = node.relay().load();
+    setGauge("dewcrank_instance_running", "Calls that the instance has.", load.running);
+    setGauge("dewcrank_instance_waiting", "Calls that wait for the instance.", load.waiting);
+    setGauge("dewcrank_instance_limit", "Calls that the instance may have at once.", load.limit);
+    setGauge("dewcrank_instance_demand", "Demand over capacity at the last correction.", node.relay().level().demand());
+    setGauge("dewcrank_instance_level", "Share of the requests upstream to admit.", node.relay().level().level());
+    setGauge("dewcrank_admitted_share", "Least share that this entry admits.", node.admission().leastShare().share);
+    setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
+    setGauge("dewcrank_nodes_known", "Other nodes known.", static_cast<double>(node.directory().others().size()));
+    setGauge("dewcrank_calls_in_flight", "Calls in flight at this node.", static_cast<double>(node.inFlight()));
+    setGauge("dewcrank_relayed_calls", "Calls relayed for other nodes.", static_cast<double>(node.counters().relayed));
+    setGauge("dewcrank_heartbeats", "Heartbeats of the instance.", static_cast<double>(node.counters().heartbeats));
+    setGauge("dewcrank_ready", "1 if callers may be sent here.", node.isReady() ? 1 : 0);
+    setGauge("dewcrank_caller_connections", "Open connections of callers.",
+             static_cast<double>(figures.caller_connections));
+    setGauge("dewcrank_instance_connections", "Open connections to the instance.",
+             static_cast<double>(figures.instance_connections));
+    setGauge("dewcrank_instance_connections_begun", "Connections to the instance since the start.",
+             static_cast<double>(figures.instance_connections_begun));
+    setGauge("dewcrank_log_lines_dropped", "Lines that their reader did not take.",
+             static_cast<double>(figures.log_lines_dropped));
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace dewcrank::adapters
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -77,6 +77,19 @@
             [member](const SidecarSettings& settings) { return (settings.*member).text(); }};
 }
 
+Key metricsKey() {
+    return {"listen.metrics", false,
+            [](SidecarSettings& settings, const Placed& placed) -> Result<void> {
+                settings.metrics = parseSocketAddress(placed.text);
+                if (!settings.metrics && !placed.text.empty()) {
+                    return stepError(kStep, placed.place,
+                                     "listen.metrics: '" + placed.text + "' is not ip:port with an IPv4 number");
+                }
+                return {};
+            },
+            [](const SidecarSettings& settings) { return settings.metrics ? settings.metrics->text() : ""; }};
+}
+
 Key numberKey(const char* name, double least, double most, std::function<void(SidecarSettings&, double)> set,
               std::function<double(const SidecarSettings&)> get) {
     return {name, false,
@@ -108,6 +121,7 @@
         addressKey("listen.nodes", &SidecarSettings::nodes),
         addressKey("listen.heartbeats", &SidecarSettings::heartbeats),
         addressKey("listen.readiness", &SidecarSettings::readiness),
+        metricsKey(),
         addressKey("instance.address", &SidecarSettings::instance),
         addressKey("store.address", &SidecarSettings::store),
         numberKey(
--- a/src/adapters/sidecar_settings.h
+++ b/src/adapters/sidecar_settings.h
@@ -2,6 +2,7 @@
 /// The settings file of a sidecar node.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "src/adapters/socket_address.h"
@@ -20,6 +21,7 @@
     SocketAddress nodes;
     SocketAddress heartbeats;
     SocketAddress readiness;
+    std::optional<SocketAddress> metrics;  ///< Not served if it is not given.
     SocketAddress instance;
     SocketAddress store;
     Duration heartbeat_interval = 1500ms;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -20,7 +20,11 @@
 }  // namespace
 
 EntryCall::EntryCall(EntryServices& services, EntryPlan plan, ReplyCallback reply, EndCallback end)
-    : services_(services), plan_(std::move(plan)), reply_(std::move(reply)), end_(std::move(end)) {}
+    : services_(services),
+      plan_(std::move(plan)),
+      reply_(std::move(reply)),
+      end_(std::move(end)),
+      began_(services.clock.now()) {}
 
 EntryCall::~EntryCall() {
     stopAttempt();
@@ -114,7 +118,8 @@
     offered_ += result.was_offered ? 1 : 0;
     switch (result.outcome) {
         case relay::RelayOutcome::kAnswered:
-            finish(std::move(result.answer), EntryEnd::kAnswered);
+            logAnswered(result, relay);
+            finish(std::move(result.answer), EntryEnd::kAnswered, "none");
             return;
         case relay::RelayOutcome::kNotRun:
             onNotRun(result);
@@ -191,14 +196,26 @@
                             .with("refusals", refusals_)
                             .with("remaining_ms", toMilliseconds(remaining()))
                             .with("table", services_.table.version()));
-    finish(std::move(answer), may_have_run_ ? EntryEnd::kUnknown : EntryEnd::kRefused);
+    finish(std::move(answer), may_have_run_ ? EntryEnd::kUnknown : EntryEnd::kRefused, reason);
+}
+
+void EntryCall::logAnswered(const relay::RelayResult& result, const std::string& relay) const {
+    services_.log.write(Event("request_answered")
+                            .with("request", plan_.request.headers.get(services_.names.request_id))
+                            .with("route", plan_.route.name())
+                            .with("service", plan_.service)
+                            .with("relay", relay)
+                            .with("status", result.answer.status)
+                            .with("offered", offered_)
+                            .with("elapsed_ms", toMilliseconds(services_.clock.now() - began_))
+                            .with("table", services_.table.version()));
 }
 
 /// The end callback may not destroy this call before it returns.
-void EntryCall::finish(HttpAnswer answer, EntryEnd end) {
+void EntryCall::finish(HttpAnswer answer, EntryEnd end, const char* reason) {
     deadline_timer_.reset();
     reply_(std::move(answer));
-    end_(end);
+    end_({end, plan_.route.name(), plan_.service, reason, services_.clock.now() - began_});
 }
 
 }  // namespace dewcrank::entry
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -69,6 +69,15 @@
 /// How a call ended at its entry.
 enum class EntryEnd { kAnswered, kRefused, kUnknown };
 
+/// What a call tells its node when it ends.
+struct EntryReport {
+    EntryEnd end = EntryEnd::kAnswered;
+    std::string route;
+    std::string service;
+    std::string reason;  ///< "none" if it was answered.
+    Duration elapsed{};
+};
+
 /// State machine of one call: choose a relay, send, judge; again at another relay while the
 /// request has provably not run, or may run twice and budget and attempts allow it.
 ///
@@ -77,7 +86,7 @@
 class EntryCall {
 public:
     using ReplyCallback = std::function<void(HttpAnswer)>;
-    using EndCallback = std::function<void(EntryEnd)>;
+    using EndCallback = std::function<void(const EntryReport&)>;
 
     EntryCall(EntryServices& services, EntryPlan plan, ReplyCallback reply, EndCallback end);
     ~EntryCall();
@@ -100,13 +109,15 @@
     void giveUp(const char* reason, bool is_timeout);
     [[nodiscard]] Duration retryAfter() const;
     void stopAttempt();
-    void finish(HttpAnswer answer, EntryEnd end);
+    void finish(HttpAnswer answer, EntryEnd end, const char* reason);
+    void logAnswered(const relay::RelayResult& result, const std::string& relay) const;
     [[nodiscard]] Duration remaining() const { return plan_.deadline - services_.clock.now(); }
 
     EntryServices& services_;
     EntryPlan plan_;
     ReplyCallback reply_;
     EndCallback end_;
+    TimePoint began_{};
     TimerHandle deadline_timer_;
     std::string relay_;                    ///< The node that has the attempt now; empty: none.
     AttemptHandle attempt_;                ///< At another node.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -161,8 +161,9 @@
     const auto number = ++last_call_;
     auto planned = plan(std::move(request), *route);
     const bool is_admitted = isAdmitted(planned);
-    auto call = std::make_unique<entry::EntryCall>(entry_services_, std::move(planned), std::move(reply),
-                                                   [this, number](entry::EntryEnd end) { onCallEnded(number, end); });
+    auto call = std::make_unique<entry::EntryCall>(
+        entry_services_, std::move(planned), std::move(reply),
+        [this, number](const entry::EntryReport& report) { onCallEnded(number, report); });
     auto& started = *(calls_[number] = std::move(call));
     if (is_admitted) {
         started.start();
@@ -256,10 +257,8 @@
 }
 
 /// The call that has just ended is still on the stack: it is destroyed from a timer.
-void SidecarNode::onCallEnded(CallNumber number, entry::EntryEnd end) {
-    counters_.answered += end == entry::EntryEnd::kAnswered ? 1 : 0;
-    counters_.refused += end == entry::EntryEnd::kRefused ? 1 : 0;
-    counters_.unknown += end == entry::EntryEnd::kUnknown ? 1 : 0;
+void SidecarNode::onCallEnded(CallNumber number, const entry::EntryReport& report) {
+    signal_call_ended_.emit(report);
     auto ended = calls_.extract(number);
     if (!ended.empty()) {
         ended_calls_.push_back(std::move(ended.mapped()));
@@ -287,14 +286,29 @@
 SidecarNode::CallNumber SidecarNode::relayCall(relay::RelayRequest request, ReplyCallback reply) {
     ++counters_.relayed;
     const auto number = ++last_call_;
-    relayed_[number] = relay_.start(std::move(request), [this, number, reply](relay::RelayResult result) {
+    const std::string id(request.request.headers.get(settings_.header_names.request_id));
+    relayed_[number] = relay_.start(std::move(request), [this, number, id, reply](relay::RelayResult result) {
         relayed_.erase(number);
+        logRelayed(id, result);
         addBottleneck(&result);
         reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
     });
     return number;
 }
 
+void SidecarNode::logRelayed(const std::string& request, const relay::RelayResult& result) {
+    const bool is_answered = result.outcome == relay::RelayOutcome::kAnswered;
+    ports_.log.write(Event(is_answered ? "relayed" : "relay_refused")
+                         .with("request", request)
+                         .with("instance", instance_.record().id())
+                         .with("reason", relay::reasonText(result.reason))
+                         .with("offered", result.was_offered ? "yes" : "no")
+                         .with("running", result.load.running)
+                         .with("waiting", result.load.waiting)
+                         .with("limit", result.load.limit)
+                         .with("level", result.level));
+}
+
 void SidecarNode::callerLeft(CallNumber number) {
     if (settings_.knobs.weakening.ignores_gone_callers) {
         return;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -41,9 +41,6 @@
 
 /// Counts of what the node has done.
 struct Counters {
-    std::uint64_t answered = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t unknown = 0;
     std::uint64_t relayed = 0;
     std::uint64_t heartbeats = 0;
 };
@@ -84,6 +81,10 @@
     [[nodiscard]] std::size_t inFlight() const { return calls_.size() + relay_.inFlight(); }
     [[nodiscard]] policy::RouteTable& table() { return table_; }
     [[nodiscard]] const fleet::NodeDirectory& directory() const { return directory_; }
+    [[nodiscard]] const policy::RouteTable& table() const { return table_; }
+    [[nodiscard]] const entry::Admission& admission() const { return admission_; }
+    /// Emitted with each call of this entry that has ended.
+    sigc::signal<void(const entry::EntryReport&)>& signalCallEnded() { return signal_call_ended_; }
     [[nodiscard]] const Counters& counters() const { return counters_; }
     [[nodiscard]] const relay::RelayService& relay() const { return relay_; }
 
@@ -97,7 +98,8 @@
     void addBottleneck(relay::RelayResult* result) const;
     void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
     [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
-    void onCallEnded(CallNumber number, entry::EntryEnd end);
+    void onCallEnded(CallNumber number, const entry::EntryReport& report);
+    void logRelayed(const std::string& request, const relay::RelayResult& result);
     void logLoad();
     void publishSelf();
     void onLedAway();
@@ -106,6 +108,7 @@
     Ports ports_;
     Settings settings_;
     Counters counters_;
+    sigc::signal<void(const entry::EntryReport&)> signal_call_ended_;
     policy::RouteTable table_;
     fleet::NodeDirectory directory_;
     fleet::Gossip gossip_;
--- /dev/null
+++ b/tests/unit/adapters/bounded_log_test.cc
@@ -0,0 +1,29 @@
+#include "src/adapters/bounded_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+BOOST_AUTO_TEST_SUITE(unit_adapters_bounded_log)
+
+BOOST_AUTO_TEST_CASE(routine_lines_never_take_the_room_of_others_and_what_is_left_out_is_counted) {
+    tests::VirtualTime time;
+    tests::RecordingLog inner;
+    adapters::BoundedLog log(time.clock, inner, {"routine"}, {3, 5});
+    time.advance(10s);
+    for (int count = 0; count < 100; ++count) {
+        log.write(Event("routine"));
+    }
+    for (int count = 0; count < 7; ++count) {
+        log.write(Event("failure"));
+    }
+    BOOST_TEST(inner.lines.size() == 8U);
+    time.advance(1s);
+    log.write(Event("failure"));
+    BOOST_TEST(inner.lines.size() == 10U);
+    BOOST_TEST(inner.lines[8] == "event=events_left_out count=99");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/ctl/explain_test.cc
@@ -0,0 +1,40 @@
+#include "apps/ctl/explain.h"
+
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+using namespace dewcrank;
+
+BOOST_AUTO_TEST_SUITE(unit_ctl_explain)
+
+BOOST_AUTO_TEST_CASE(a_requests_lines_come_in_order_with_what_was_believed_around_them) {
+    ctl::Explanation explanation("r7");
+    std::istringstream entry(
+        "time=2026-01-01T10:00:00.000 event=table_adopted version=3\n"
+        "time=2026-01-01T10:00:09.000 event=relay_failed request=r1 peer=n2\n"
+        "time=2026-01-01T10:00:10.300 event=request_given_up request=r7 reason=timeout\n"
+        "time=2026-01-01T10:00:10.301 event=request_answered request=r8 reason=none\n"
+        "no event here\n");
+    std::istringstream relay(
+        "time=2026-01-01T10:00:10.100 event=relay_refused request=r7 reason=draining\n"
+        "time=2026-01-01T10:00:11.000 event=instance_changed state=INSTANCE_GONE\n");
+    explanation.read("entry.log", entry);
+    explanation.read("relay.log", relay);
+    const auto lines = explanation.lines();
+    BOOST_REQUIRE(lines.size() == 4U);
+    BOOST_TEST(lines[0].text.starts_with("event=relay_failed"));
+    BOOST_TEST(!lines[0].is_own);
+    BOOST_TEST(lines[1].source == "relay.log");
+    BOOST_TEST(lines[1].is_own);
+    BOOST_TEST(lines[2].text.find("reason=timeout") != std::string::npos);
+    BOOST_TEST(lines[3].text.starts_with("event=instance_changed"));
+}
+
+BOOST_AUTO_TEST_CASE(an_id_that_only_begins_alike_is_another_request) {
+    ctl::Explanation explanation("r7");
+    std::istringstream log("time=2026-01-01T10:00:10.300 event=request_answered request=r77 route=a\n");
+    explanation.read("log", log);
+    BOOST_TEST(explanation.lines().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
