--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -12,6 +12,9 @@
 
 using dewcrank::ctl::Output;
 
+/// `explain`, a request's id and a file.
+constexpr std::size_t kLeastExplainWords = 3;
+
 cxxopts::Options makeOptions() {
     cxxopts::Options options("dewcrank", "Edits the table and shows what is in force.");
     options.positional_help("COMMAND ...");
@@ -41,7 +44,6 @@
     if (given.count("words") > 0) {
         request.words = given["words"].as<std::vector<std::string>>();
     }
-    constexpr std::size_t kLeastExplainWords = 3;  // The command, a request's id and a file.
     if (!request.words.empty() && request.words[0] == "explain") {
         if (request.words.size() < kLeastExplainWords) {
             std::cerr << "explain: a request's id and one log file at least are expected\n";
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -11,6 +11,17 @@
 protoc --proto_path=proto --cpp_out="$fresh" peer.proto fleet.proto
 diff -r proto/generated "$fresh"
 echo "generated code: matches proto/*.proto"
-mapfile -t units < <(git ls-files 'src/*.cc' 'apps/*.cc' 'sim/*.cc')
+platform_names='Dewcrank-[A-Z][a-z]+-|/dewcrank/(readiness|Instances|objects)|AppAddr|PathPrefix|TargetLatencyMs|TrafficSplit'
+if git grep -nIE "$platform_names" -- src apps sim proto; then
+    echo "names: the platform's names stand outside platform/" >&2
+    exit 1
+fi
+lines=$(git ls-files 'platform/*' | xargs cat | wc -l)
+if [ "$lines" -gt 800 ]; then
+    echo "platform/: $lines lines, at most 800 are allowed" >&2
+    exit 1
+fi
+echo "platform/: $lines lines; its names stand nowhere else"
+mapfile -t units < <(git ls-files 'src/*.cc' 'apps/*.cc' 'sim/*.cc' 'platform/*.cc')
 printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet --warnings-as-errors='*' 2> /dev/null
 echo "lint: ${#units[@]} files clean"
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -17,6 +17,9 @@
 constexpr std::uint32_t kObjectiveMs = 1000;
 constexpr retry::RepeatBound kRepeats{0.05, 12, 10s};
 constexpr Duration kReadinessInterval = 1s;
+/// After a caller has left, or a drain was acknowledged, work may go on for this long.
+constexpr Duration kGrace = 500ms;
+constexpr Duration kDrainBound = 2s;
 constexpr int kMissesToLeave = 2;
 const char* const kHost = "fleet.example";
 const char* const kInnerHost = "inner.example";
@@ -199,11 +202,11 @@
         auto* route = table.add_routes();
         route->set_name(prefix);
         route->set_host(host);
-        route->set_path_prefix(prefix);
+        route->set_prefix(prefix);
         route->set_is_repeatable(is_repeatable);
         route->set_max_attempts(2);
         route->set_timeout_ms(kTimeoutMs);
-        route->set_target_latency_ms(kObjectiveMs);
+        route->set_objective_ms(kObjectiveMs);
         route->set_priority(priority);
         auto* part = route->add_parts();
         part->set_service(service);
@@ -317,7 +320,6 @@
 }
 
 void SidecarFleet::checkRuns(std::vector<Breach>* out) const {
-    constexpr Duration kGrace = 500ms;
     std::map<std::string, const CallerRequest*> by_id;
     for (const auto& request : requests_) {
         by_id[request->id] = request.get();
@@ -338,7 +340,6 @@
 }
 
 void SidecarFleet::checkDraining(std::vector<Breach>* out) const {
-    constexpr Duration kDrainBound = 2s;
     for (const auto& run : runs_) {
         const auto found = drained_.find(run.instance);
         if (found != drained_.end() && run.began > found->second + kDrainBound) {
@@ -356,12 +357,13 @@
         const bool is_first = seen.insert(run.request + " " + run.service).second;
         (is_first ? first : repeats)[run.service].push_back(run.began);
     }
-    for (const auto& [service, times] : repeats) {
-        for (std::size_t begin = 0; begin < times.size(); ++begin) {
-            const auto end = times[begin] + kRepeats.window;
-            const auto inside = [&](const std::vector<TimePoint>& all) {
+    for (const auto& entry : repeats) {
+        const auto& service = entry.first;
+        const auto& times = entry.second;
+        for (const auto begin : times) {
+            const auto inside = [begin](const std::vector<TimePoint>& all) {
                 return std::count_if(all.begin(), all.end(),
-                                     [&](TimePoint at) { return at >= times[begin] && at < end; });
+                                     [begin](TimePoint at) { return at >= begin && at < begin + kRepeats.window; });
             };
             const auto requests = first.contains(service) ? inside(first.at(service)) : 0;
             if (static_cast<double>(inside(times)) > kRepeats.ratio * static_cast<double>(requests) + kRepeats.slack) {
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -100,7 +100,7 @@
 };
 
 HttpClient::HttpClient(EventLoop& loop, HttpLimits limits, ClientOptions options)
-    : loop_(loop), limits_(limits), options_(options) {}
+    : loop_(loop), limits_(limits), options_(std::move(options)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/adapters/http_parser.cc
+++ b/src/adapters/http_parser.cc
@@ -16,6 +16,8 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+/// What the library says of a message without a length.
+constexpr auto kNoLength = std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned char kFirstVisible = 0x21;
 constexpr unsigned char kDelete = 0x7f;
 
@@ -109,11 +111,11 @@
 }
 
 HttpMessageParser::State HttpMessageParser::feed(const char* data, std::size_t size, std::size_t* consumed) {
-    static const http_parser_settings kSettings = makeSettings();
+    static const http_parser_settings settings = makeSettings();
     chunk_start_ = data;
     value_end_ = nullptr;
     const bool head_was_open = !has_whole_head_;
-    *consumed = http_parser_execute(&parser_, &kSettings, data, size);
+    *consumed = http_parser_execute(&parser_, &settings, data, size);
     if (is_complete_) {
         return State::kComplete;
     }
@@ -191,7 +193,6 @@
     if (head_size > limits_.header_bytes) {
         return fail(State::kMalformed);
     }
-    constexpr auto kNoLength = std::numeric_limits<std::uint64_t>::max();
     const bool has_length = (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != kNoLength;
     if (parser_.content_length != kNoLength && parser_.content_length > limits_.body_bytes) {
         return fail(State::kTooLarge);
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -15,6 +15,7 @@
 
 /// Connections that wait to be accepted.
 constexpr int kBacklog = 1024;
+constexpr unsigned kListenOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
 
 std::uint16_t boundPort(evutil_socket_t descriptor) {
     sockaddr_in address{};
@@ -75,8 +76,7 @@
     if (inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr) != 1) {
         return stepError("http.listen", address.text(), "not an IPv4 address");
     }
-    constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
-    listener_ = evconnlistener_new_bind(loop_.base(), &HttpServer::onAccept, this, kOptions, kBacklog,
+    listener_ = evconnlistener_new_bind(loop_.base(), &HttpServer::onAccept, this, kListenOptions, kBacklog,
                                         reinterpret_cast<sockaddr*>(&target), sizeof target);
     if (listener_ == nullptr) {
         return stepError("http.listen", address.text(), std::strerror(errno));
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -90,8 +90,8 @@
             [](const SidecarSettings& settings) { return settings.metrics ? settings.metrics->text() : ""; }};
 }
 
-Key numberKey(const char* name, double least, double most, std::function<void(SidecarSettings&, double)> set,
-              std::function<double(const SidecarSettings&)> get) {
+Key numberKey(const char* name, double least, double most, const std::function<void(SidecarSettings&, double)>& set,
+              const std::function<double(const SidecarSettings&)>& get) {
     return {name, false,
             [=](SidecarSettings& settings, const Placed& placed) -> Result<void> {
                 if (placed.text.empty()) {
@@ -113,7 +113,7 @@
 }
 
 const std::vector<Key>& keys() {
-    static const std::vector<Key> kKeys = {
+    static const std::vector<Key> all = {
         textKey("name", &SidecarSettings::name),
         textKey("zone", &SidecarSettings::zone),
         textKey("service", &SidecarSettings::service),
@@ -144,7 +144,7 @@
             [](SidecarSettings& settings, double value) { settings.stop_grace = milliseconds(value * 1e3); },
             [](const SidecarSettings& settings) { return inMilliseconds(settings.stop_grace) / 1e3; }),
     };
-    return kKeys;
+    return all;
 }
 
 std::string placeOf(const std::string& file, const toml::node& value) {
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -54,7 +54,7 @@
 }
 
 relay::RelayRequest EntryCall::relayRequest(const RelayTarget& target) const {
-    const auto objective = std::chrono::milliseconds(plan_.route.target_latency_ms());
+    const auto objective = std::chrono::milliseconds(plan_.route.objective_ms());
     const auto share = std::chrono::duration_cast<Duration>(objective * services_.knobs.longest_wait_share);
     relay::RelayRequest request;
     request.request = plan_.request;
--- a/src/policy/route_table.cc
+++ b/src/policy/route_table.cc
@@ -32,7 +32,7 @@
     }
     for (auto& [host, routes] : by_host_) {
         std::stable_sort(routes.begin(), routes.end(), [](const wire::Route* left, const wire::Route* right) {
-            return left->path_prefix().size() > right->path_prefix().size();
+            return left->prefix().size() > right->prefix().size();
         });
     }
     signal_adopted_.emit();
@@ -45,7 +45,7 @@
         return nullptr;
     }
     const auto route = std::find_if(found->second.begin(), found->second.end(), [path](const wire::Route* candidate) {
-        return path.starts_with(candidate->path_prefix());
+        return path.starts_with(candidate->prefix());
     });
     return route == found->second.end() ? nullptr : *route;
 }
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -11,9 +11,10 @@
 namespace {
 
 /// Statuses that promise that a request was not run.
+constexpr std::array<int, 4> kPromises = {kHttpRequestTimeout, kHttpMisdirected, kHttpTooManyRequests,
+                                          kHttpServiceUnavailable};
+
 bool promisesNotRun(int status) {
-    constexpr std::array<int, 4> kPromises = {kHttpRequestTimeout, kHttpMisdirected, kHttpTooManyRequests,
-                                              kHttpServiceUnavailable};
     return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
 }
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -14,6 +14,8 @@
 constexpr Duration kStopCheck = 50ms;
 constexpr Duration kLoadLogInterval = 1s;
 constexpr double kLoggedDemand = 0.8;
+/// Of one inner call's report in the moving average of what is below.
+constexpr double kBelowWeight = 0.2;
 /// A caller that has less than this part of its kind's usual time has asked before.
 constexpr double kFreshShare = 0.97;
 constexpr const char* kNotReadyRetryAfter = "0.5";
@@ -194,7 +196,7 @@
 /// The part whose turn it is; another one if no instance of it is known.
 std::string SidecarNode::serviceFor(const wire::Route& route) {
     const auto found = dividers_.try_emplace(route.name(), ports_.random.unit()).first;
-    const auto chosen = route.parts(static_cast<int>(found->second.next(route))).service();
+    auto chosen = route.parts(static_cast<int>(found->second.next(route))).service();
     if (selector_.relayCount(chosen) > 0) {
         return chosen;
     }
@@ -245,10 +247,9 @@
     if (result.is_inner) {
         inner_routes_.insert(plan.route.name());
         auto& below = below_[plan.service];
-        constexpr double kWeight = 0.2;
         const bool is_same = below.bottleneck.service == result.bottleneck;
         const double former = is_same ? below.bottleneck.level : result.level;
-        below.bottleneck = {result.bottleneck, former + (result.level - former) * kWeight};
+        below.bottleneck = {result.bottleneck, former + (result.level - former) * kBelowWeight};
         below.reported = ports_.clock.now();
         return;
     }
@@ -280,10 +281,10 @@
         return 0;
     }
     gossip_.onTableVersionSeen(sender.name, sender.table_version);
-    return relayCall(std::move(*relayed), std::move(reply));
+    return relayCall(std::move(*relayed), reply);
 }
 
-SidecarNode::CallNumber SidecarNode::relayCall(relay::RelayRequest request, ReplyCallback reply) {
+SidecarNode::CallNumber SidecarNode::relayCall(relay::RelayRequest request, const ReplyCallback& reply) {
     ++counters_.relayed;
     const auto number = ++last_call_;
     const std::string id(request.request.headers.get(settings_.header_names.request_id));
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -63,7 +63,7 @@
     /// @return a number for `callerLeft`; 0 if it has been answered at once.
     CallNumber handleCall(HttpRequest request, ReplyCallback reply);
     /// A request of another node: a relayed call, or gossip.
-    CallNumber handleNodeRequest(HttpRequest request, ReplyCallback reply);
+    CallNumber handleNodeRequest(HttpRequest request, const ReplyCallback& reply);
     /// Whoever sent the request has gone; its reply is not called any more.
     void callerLeft(CallNumber number);
 
@@ -93,7 +93,7 @@
     [[nodiscard]] std::optional<HttpAnswer> refusalOf(const HttpRequest& request, const wire::Route* route) const;
     entry::EntryPlan plan(HttpRequest request, const wire::Route& route);
     std::string serviceFor(const wire::Route& route);
-    CallNumber relayCall(relay::RelayRequest request, ReplyCallback reply);
+    CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
     void addBottleneck(relay::RelayResult* result) const;
     void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
--- a/tests/unit/policy/route_table_test.cc
+++ b/tests/unit/policy/route_table_test.cc
@@ -12,7 +12,7 @@
     auto* route = table->add_routes();
     route->set_name(name);
     route->set_host(host);
-    route->set_path_prefix(prefix);
+    route->set_prefix(prefix);
 }
 
 wire::RouteTable tableOf(std::uint64_t version) {
