--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -269,7 +269,7 @@
     }
 }
 
-SidecarNode::CallNumber SidecarNode::handleNodeRequest(HttpRequest request, ReplyCallback reply) {
+SidecarNode::CallNumber SidecarNode::handleNodeRequest(HttpRequest request, const ReplyCallback& reply) {
     if (request.path == fleet::kGossipPath && request.method == "POST") {
         reply(gossip_.handle(request));
         return 0;
