--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -145,9 +145,8 @@
     auto* node = machine.node.get();
     const auto left = [node](std::uint64_t call) { node->callerLeft(call); };
     network_.addServer(machine.node_address, Server{machine.host.get(),
-                                                    [node](HttpRequest request, Server::Reply reply) {
-                                                        return node->handleNodeRequest(std::move(request),
-                                                                                       std::move(reply));
+                                                    [node](HttpRequest request, const Server::Reply& reply) {
+                                                        return node->handleNodeRequest(std::move(request), reply);
                                                     },
                                                     left});
     network_.addServer(machine.caller_address, Server{machine.host.get(),
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -70,7 +70,8 @@
       level_(knobs.level) {
     instance_.signalChanged().connect([this] {
         if (instance_.isReady()) {
-            queue_.setLimit(instance_.record().slots());
+            const auto slots = instance_.record().slots();
+            queue_.setLimit(slots - slots / knobs_.free_slot_in);
         }
     });
 }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -83,6 +83,8 @@
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     LevelKnobs level;
+    /// One slot in so many is left free: some instances get slower when they are nearly full.
+    std::uint32_t free_slot_in = 16;
     Weakening weakening;  ///< Tests only.
 };
 
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -5,6 +5,7 @@
 #include "src/relay/caller_census.h"
 #include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
+#include "src/relay/relay_service.h"
 #include "src/relay/relay_wire.h"
 #include "src/retry/repeat_budget.h"
 #include "tests/support/fakes.h"
@@ -63,6 +64,36 @@
     BOOST_TEST(queue.load().waiting == 0U);
 }
 
+/// Takes every request and never answers.
+class SilentInstance : public BackEndPort {
+public:
+    AttemptHandle send(const std::string&, HttpRequest, Duration, Callback) override {
+        return std::make_unique<Attempt>();
+    }
+};
+
+BOOST_AUTO_TEST_CASE(a_large_instance_is_never_filled_to_its_last_slot) {
+    const struct {
+        std::uint32_t slots;
+        std::uint32_t limit;
+    } cases[] = {{14, 14}, {38, 36}, {142, 134}};
+    for (const auto& entry : cases) {
+        tests::VirtualTime time;
+        tests::RecordingLog log;
+        SilentInstance instances;
+        instance::LocalInstance local(time.clock, 8s);
+        const HeaderNames names;
+        relay::RelayService relay(time.clock, log, instances, local, names, "i:1",
+                                  [](const std::string&) { return 1.0; }, {});
+        instance::Heartbeat heartbeat;
+        heartbeat.id = "i1";
+        heartbeat.slots = entry.slots;
+        heartbeat.sequence = 1;
+        local.onHeartbeat(heartbeat);
+        BOOST_TEST(relay.load().limit == entry.limit, entry.slots);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(repeats_stay_within_the_part_of_the_bound) {
     retry::RepeatBudget budget({0.2, 40, 10s});
     const TimePoint start(100s);
