Probe relays that fall silent under calls

Cause: a machine without power, frozen or cut off resets nothing. Calls there hung until their route's time-out, and as nothing told the entry, it went on choosing that relay; avoidance after a failure also ran out by itself. Ruled out: TCP_USER_TIMEOUT alone (it ends only what is unacknowledged, and only that one connection). Change: a failure detector: a node with calls that is quiet for 300 ms is probed; one that does not answer is suspected until a probe succeeds, and calls that may run twice leave it. Suspicion replaces timed avoidance (the unit test of the timed avoidance is replaced by one of suspicion). An exchange with an unknown node is not marked as under way.

--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -79,6 +79,7 @@
                                          [this](relay::RelayResult result) { onResult(std::move(result)); });
         return;
     }
+    services_.failure_detector.onCallSent(relay_);
     const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
     attempt_ =
         services_.nodes.send(target.address, relay::toHttp(request, self, services_.clock.now()), remaining() + 1s,
@@ -92,14 +93,25 @@
         onResult(relay::fromHttp(std::move(result.answer)));
         return;
     }
-    const auto pause = services_.directory.onUnreachable(relay_);
+    services_.directory.onUnreachable(relay_);
+    onRelayLost(result.reason, result.outcome == AttemptOutcome::kUnknown);
+}
+
+void EntryCall::onNodeSilent(const std::string& node) {
+    const bool runs_there = relay_ == node && attempt_ != nullptr;
+    const bool may_repeat = plan_.route.is_repeatable() && offered_ + 1 < plan_.route.max_attempts();
+    if (runs_there && may_repeat && services_.selector.hasReachable(plan_.service, tried_)) {
+        onRelayLost("silent", true);
+    }
+}
+
+void EntryCall::onRelayLost(const std::string& reason, bool was_sent) {
     services_.log.write(Event("relay_failed")
                             .with("request", plan_.request.headers.get(services_.names.request_id))
                             .with("peer", relay_)
-                            .with("reason", result.reason)
-                            .with("avoided_ms", toMilliseconds(pause)));
+                            .with("reason", reason)
+                            .with("sent", was_sent ? "yes" : "no"));
     relay::RelayResult lost;
-    const bool was_sent = result.outcome == AttemptOutcome::kUnknown;
     lost.outcome = was_sent ? relay::RelayOutcome::kUnknown : relay::RelayOutcome::kNotRun;
     lost.reason = was_sent ? relay::RelayReason::kRelayLost : relay::RelayReason::kNotConnected;
     lost.was_offered = was_sent;
@@ -109,8 +121,7 @@
 void EntryCall::onResult(relay::RelayResult result) {
     own_ = 0;
     const auto ended = std::exchange(attempt_, nullptr);
-    const auto relay = std::exchange(relay_, "");
-    services_.selector.onEnded(relay);
+    const auto relay = relayEnded();
     if (result.has_load) {
         services_.selector.onLoad(relay, result.load);
         services_.observe(plan_, result);
@@ -163,10 +174,17 @@
     }
     attempt_.reset();
     if (!relay_.empty()) {
-        services_.selector.onEnded(std::exchange(relay_, ""));
+        relayEnded();
     }
 }
 
+/// @return the relay that had the attempt.
+std::string EntryCall::relayEnded() {
+    services_.selector.onEnded(relay_);
+    services_.failure_detector.onCallEnded(relay_);
+    return std::exchange(relay_, "");
+}
+
 Duration EntryCall::retryAfter() const {
     const auto& knobs = services_.knobs;
     const auto least = is_overload_ ? knobs.least_overload_retry_after : knobs.least_retry_after;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -11,6 +11,7 @@
 #include "src/base/http_message.h"
 #include "src/base/weakening.h"
 #include "src/entry/relay_selector.h"
+#include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/policy/route_table.h"
 #include "src/ports/back_end_port.h"
@@ -58,6 +59,7 @@
     relay::RelayService& own_relay;
     fleet::NodeDirectory& directory;
     fleet::Gossip& gossip;
+    fleet::FailureDetector& failure_detector;
     const policy::RouteTable& table;
     HeaderNames names;
     EntryKnobs knobs;
@@ -96,12 +98,17 @@
     void start();
     /// Refuses the call instead of starting it.
     void refuse(const char* reason);
+    /// A node does not answer probes. If the call runs there and may run twice, it goes elsewhere;
+    /// else it waits on: the node may come back with the answer.
+    void onNodeSilent(const std::string& node);
 
 private:
     void sendToNext();
     void sendTo(const RelayTarget& target);
     [[nodiscard]] relay::RelayRequest relayRequest(const RelayTarget& target) const;
     void onRelayAnswer(AttemptResult result);
+    void onRelayLost(const std::string& reason, bool was_sent);
+    std::string relayEnded();
     void onResult(relay::RelayResult result);
     void onNotRun(const relay::RelayResult& result);
     void onUnknown();
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -22,7 +22,7 @@
     return count;
 }
 
-double RelaySelector::costOf(const wire::NodeRecord& record, Duration cold_left, bool is_avoided) {
+double RelaySelector::costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected) {
     const auto& seen = seen_[record.name()];
     const auto age = clock_.now() - seen.reported;
     const double memory =
@@ -38,8 +38,8 @@
         // A full service is one queue, whatever the zone.
         cost += knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
     }
-    if (is_avoided) {
-        cost += knobs_.avoided_cost;
+    if (is_suspected) {
+        cost += knobs_.suspected_cost;
     }
     return cost + knobs_.random_cost * random_.unit();
 }
@@ -47,11 +47,11 @@
 RelayTarget RelaySelector::choose(const std::string& service, const std::set<std::string>& excluded) {
     RelayTarget best;
     double least = std::numeric_limits<double>::max();
-    const auto consider = [&](const wire::NodeRecord& record, Duration cold_left, bool is_avoided) {
+    const auto consider = [&](const wire::NodeRecord& record, Duration cold_left, bool is_suspected) {
         if (!serves(record, service) || excluded.contains(record.name())) {
             return;
         }
-        const double cost = costOf(record, cold_left, is_avoided);
+        const double cost = costOf(record, cold_left, is_suspected);
         if (cost < least) {
             least = cost;
             best = {record.name(), record.address(), record.instance().id()};
@@ -59,11 +59,23 @@
     };
     consider(directory_.self(), std::chrono::milliseconds(directory_.self().instance().cold_left_ms()), false);
     for (const auto& [name, node] : directory_.others()) {
-        consider(node.record, directory_.coldLeft(node), directory_.isAvoided(node));
+        consider(node.record, directory_.coldLeft(node), fleet::NodeDirectory::isSuspected(node));
     }
     return best;
 }
 
+bool RelaySelector::hasReachable(const std::string& service, const std::set<std::string>& excluded) const {
+    const auto& self = directory_.self();
+    if (serves(self, service) && !excluded.contains(self.name())) {
+        return true;
+    }
+    const auto& others = directory_.others();
+    return std::any_of(others.begin(), others.end(), [&](const auto& entry) {
+        return serves(entry.second.record, service) && !fleet::NodeDirectory::isSuspected(entry.second) &&
+               !excluded.contains(entry.first);
+    });
+}
+
 void RelaySelector::onSent(const std::string& node) {
     ++seen_[node].in_flight;
 }
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -17,10 +17,10 @@
 struct SelectorKnobs {
     double other_zone_cost = 0.25;
     double cold_cost = 0.3;
-    double cold_factor = 2.0;   ///< A cold instance is about this much slower.
-    double random_cost = 0.05;  ///< Uniform up to this: keeps entries from choosing alike.
-    double avoided_cost = 100;  ///< Chosen only if there is no other.
-    Duration load_memory = 2s;  ///< Reported loads fade over this time.
+    double cold_factor = 2.0;     ///< A cold instance is about this much slower.
+    double random_cost = 0.05;    ///< Uniform up to this: keeps entries from choosing alike.
+    double suspected_cost = 100;  ///< Chosen only if there is no other.
+    Duration load_memory = 2s;    ///< Reported loads fade over this time.
 };
 
 /// Where a request is sent.
@@ -38,6 +38,8 @@
     /// The relay of least cost for a service. @param excluded names of nodes not to choose.
     /// @return a target without a node if there is none.
     RelayTarget choose(const std::string& service, const std::set<std::string>& excluded);
+    /// True if a relay of the service that is not suspected is left beside the excluded ones.
+    [[nodiscard]] bool hasReachable(const std::string& service, const std::set<std::string>& excluded) const;
     void onSent(const std::string& node);
     void onEnded(const std::string& node);
     void onLoad(const std::string& node, const relay::QueueLoad& load);
@@ -52,7 +54,7 @@
         int in_flight_at_report = 0;
     };
     [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
-    double costOf(const wire::NodeRecord& record, Duration cold_left, bool is_avoided);
+    double costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected);
 
     Clock& clock_;
     RandomSource& random_;
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -70,7 +70,7 @@
 void Gossip::noticeTable() {
     std::vector<std::string> behind;
     for (const auto& [name, node] : directory_.others()) {
-        if (node.table_version < table_.version() && !directory_.isAvoided(node) &&
+        if (node.table_version < table_.version() && !NodeDirectory::isSuspected(node) &&
             behind.size() < knobs_.notice_fanout) {
             behind.push_back(name);
         }
@@ -81,7 +81,7 @@
 }
 
 void Gossip::exchangeWith(const std::string& name) {
-    if (!exchanging_.insert(name).second) {
+    if (directory_.find(name) == nullptr || !exchanging_.insert(name).second) {
         return;
     }
     auto exchange = message();
@@ -106,7 +106,15 @@
     send(name, reply, nullptr);
 }
 
+void Gossip::probe(const std::string& name, Duration timeout, std::function<void(bool)> done) {
+    send(name, message(), timeout, [done = std::move(done)](const wire::Gossip* answer) { done(answer != nullptr); });
+}
+
 void Gossip::send(const std::string& name, const wire::Gossip& message, Sent done) {
+    send(name, message, knobs_.timeout, std::move(done));
+}
+
+void Gossip::send(const std::string& name, const wire::Gossip& message, Duration timeout, Sent done) {
     const auto* node = directory_.find(name);
     if (node == nullptr) {
         return;
@@ -117,7 +125,7 @@
     request.headers.set("Content-Type", "application/x-protobuf");
     request.body = message.SerializeAsString();
     const auto number = ++last_number_;
-    in_flight_[number] = nodes_.send(node->record.address(), std::move(request), knobs_.timeout,
+    in_flight_[number] = nodes_.send(node->record.address(), std::move(request), timeout,
                                      [this, number, name, done = std::move(done)](const AttemptResult& result) {
                                          const auto ended = in_flight_.extract(number);
                                          onAnswer(name, result, done);
@@ -133,9 +141,6 @@
         mergeAll(answer);
     } else {
         directory_.onUnreachable(name);
-        if (unreachable_) {
-            unreachable_(name);
-        }
     }
     if (done) {
         done(is_answered ? &answer : nullptr);
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -45,8 +45,9 @@
     void exchangeWith(const std::string& name);
     /// A node has told its table's version, here or beside a call.
     void onTableVersionSeen(const std::string& name, std::uint64_t version);
-    /// Called with each node that did not answer an exchange.
-    void onUnreachable(std::function<void(const std::string&)> callback) { unreachable_ = std::move(callback); }
+    /// Asks one node for a sign of life. `done` is called once, with whether it answered in time;
+    /// the directory has been told by then.
+    void probe(const std::string& name, Duration timeout, std::function<void(bool)> done);
 
 private:
     using Sent = std::function<void(const wire::Gossip*)>;
@@ -56,6 +57,7 @@
     void noticeTable();
     [[nodiscard]] wire::Gossip message() const;
     void send(const std::string& name, const wire::Gossip& message, Sent done);
+    void send(const std::string& name, const wire::Gossip& message, Duration timeout, Sent done);
     void onAnswer(const std::string& name, const AttemptResult& result, const Sent& done);
     void mergeAll(const wire::Gossip& message);
     void sendWanted(const std::string& name, const wire::Gossip& answer);
@@ -69,7 +71,6 @@
     NodeDirectory& directory_;
     policy::RouteTable& table_;
     GossipKnobs knobs_;
-    std::function<void(const std::string&)> unreachable_;
     std::set<std::string> exchanging_;
     std::map<std::uint64_t, AttemptHandle> in_flight_;
     std::uint64_t last_number_ = 0;
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMostDoublings = 8;
-
 template <typename Left, typename Right>
 bool isNewer(const Left& left, const Right& right) {
     return std::make_tuple(left.incarnation(), left.sequence()) >
@@ -25,8 +23,7 @@
 
 }  // namespace
 
-NodeDirectory::NodeDirectory(Clock& clock, DirectoryKnobs knobs, wire::NodeRecord self)
-    : clock_(clock), knobs_(knobs), self_(std::move(self)) {}
+NodeDirectory::NodeDirectory(Clock& clock, wire::NodeRecord self) : clock_(clock), self_(std::move(self)) {}
 
 void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, bool is_stopping) {
     if (instance.SerializeAsString() == self_.instance().SerializeAsString() && is_stopping == self_.is_stopping()) {
@@ -49,7 +46,6 @@
     }
     if (record.incarnation() > known.record.incarnation()) {
         known.failures = 0;
-        known.avoided_until = {};
         known.table_version = 0;
     }
     known.record = record;
@@ -91,20 +87,16 @@
 void NodeDirectory::onReached(const std::string& name) {
     if (const auto found = others_.find(name); found != others_.end()) {
         found->second.failures = 0;
-        found->second.avoided_until = {};
+        found->second.last_heard = clock_.now();
     }
 }
 
-Duration NodeDirectory::onUnreachable(const std::string& name) {
+void NodeDirectory::onUnreachable(const std::string& name) {
     const auto found = others_.find(name);
-    if (found == others_.end()) {
-        return {};
+    if (found != others_.end()) {
+        ++found->second.failures;
+        signal_suspected_.emit(name);
     }
-    auto& node = found->second;
-    const auto doublings = std::min(node.failures++, kMostDoublings);
-    const auto pause = std::min(knobs_.longest_avoidance, knobs_.first_avoidance * (1U << doublings));
-    node.avoided_until = clock_.now() + pause;
-    return pause;
 }
 
 void NodeDirectory::onTableVersion(const std::string& name, std::uint64_t version) {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -20,15 +20,8 @@
     wire::NodeRecord record;
     TimePoint received{};             ///< When the record came; its cold time runs from then.
     std::uint64_t table_version = 0;  ///< The newest version it is known to have.
-    std::uint32_t failures = 0;       ///< Contacts that failed in a row.
-    TimePoint avoided_until{};        ///< Gets no calls before.
-};
-
-/// Constants of the directory.
-struct DirectoryKnobs {
-    /// How long a node is avoided after its first failed contact; doubles with each further one.
-    Duration first_avoidance = 250ms;
-    Duration longest_avoidance = 2s;
+    TimePoint last_heard{};           ///< When it last answered, or spoke.
+    std::uint32_t failures = 0;       ///< Contacts that failed in a row; over 0: it is suspected.
 };
 
 /// Aggregate: records merge by (incarnation, sequence), so that all nodes end with the same
@@ -36,7 +29,7 @@
 /// hears of a later life of itself than its own goes on after it.
 class NodeDirectory {
 public:
-    NodeDirectory(Clock& clock, DirectoryKnobs knobs, wire::NodeRecord self);
+    NodeDirectory(Clock& clock, wire::NodeRecord self);
 
     [[nodiscard]] const wire::NodeRecord& self() const { return self_; }
     /// Replaces what this node says of its instance and of itself.
@@ -48,13 +41,13 @@
 
     [[nodiscard]] const std::map<std::string, KnownNode>& others() const { return others_; }
     [[nodiscard]] const KnownNode* find(const std::string& name) const;
-    [[nodiscard]] bool isAvoided(const KnownNode& node) const { return clock_.now() < node.avoided_until; }
+    /// True from a failed contact on until the node has been reached or has started anew.
+    [[nodiscard]] static bool isSuspected(const KnownNode& node) { return node.failures > 0; }
     /// How much longer its instance is cold.
     [[nodiscard]] Duration coldLeft(const KnownNode& node) const;
 
     void onReached(const std::string& name);
-    /// @return how long the node is avoided now.
-    Duration onUnreachable(const std::string& name);
+    void onUnreachable(const std::string& name);
     void onTableVersion(const std::string& name, std::uint64_t version);
 
     /// The records newer than the digest, and the names in which the digest is newer.
@@ -69,6 +62,8 @@
 
     /// Emitted with a node's name when its record has changed.
     sigc::signal<void(const std::string&)>& signalChanged() { return signal_changed_; }
+    /// Emitted with a node's name at each failed contact with it.
+    sigc::signal<void(const std::string&)>& signalSuspected() { return signal_suspected_; }
     /// Emitted when this node's own record has changed.
     sigc::signal<void()>& signalSelfChanged() { return signal_self_changed_; }
 
@@ -76,10 +71,10 @@
     void refute(const wire::NodeRecord& record);
 
     Clock& clock_;
-    DirectoryKnobs knobs_;
     wire::NodeRecord self_;
     std::map<std::string, KnownNode> others_;
     sigc::signal<void(const std::string&)> signal_changed_;
+    sigc::signal<void(const std::string&)> signal_suspected_;
     sigc::signal<void()> signal_self_changed_;
 };
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -9,6 +9,7 @@
 #include "src/base/weakening.h"
 #include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
+#include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
 #include "src/relay/relay_service.h"
@@ -17,8 +18,8 @@
 
 /// Constants of all parts of a sidecar node.
 struct Knobs {
-    fleet::DirectoryKnobs directory;
     fleet::GossipKnobs gossip;
+    fleet::FailureDetectorKnobs failure_detector;
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
     entry::AdmissionKnobs admission;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -52,8 +52,9 @@
 SidecarNode::SidecarNode(const Ports& ports, Settings settings)
     : ports_(ports),
       settings_(std::move(settings)),
-      directory_(ports.clock, settings_.knobs.directory, firstRecord(settings_)),
+      directory_(ports.clock, firstRecord(settings_)),
       gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, settings_.knobs.gossip),
+      failure_detector_(ports.clock, directory_, gossip_, settings_.knobs.failure_detector),
       instance_(ports.clock, settings_.knobs.longest_silence),
       relay_(
           ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
@@ -69,6 +70,7 @@
           relay_,
           directory_,
           gossip_,
+          failure_detector_,
           table_,
           settings_.header_names,
           settings_.knobs.entry,
@@ -76,6 +78,7 @@
           settings_.knobs.weakening},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
     instance_.signalChanged().connect([this] { publishSelf(); });
+    failure_detector_.signalSilent().connect([this](const std::string& name) { onNodeSilent(name); });
     directory_.signalChanged().connect(
         [this](const std::string&) { relay_.setRelayCount(selector_.relayCount(settings_.service)); });
 }
@@ -257,6 +260,19 @@
     admission_.onReport(plan.service, {result.bottleneck, result.level});
 }
 
+void SidecarNode::onNodeSilent(const std::string& name) {
+    ports_.log.write(Event("node_silent").with("peer", name));
+    std::vector<CallNumber> numbers;
+    for (const auto& [number, call] : calls_) {
+        numbers.push_back(number);
+    }
+    for (const auto number : numbers) {
+        if (const auto found = calls_.find(number); found != calls_.end()) {
+            found->second->onNodeSilent(name);
+        }
+    }
+}
+
 /// The call that has just ended is still on the stack: it is destroyed from a timer.
 void SidecarNode::onCallEnded(CallNumber number, const entry::EntryReport& report) {
     signal_call_ended_.emit(report);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -14,6 +14,7 @@
 #include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
+#include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
 #include "src/instance/local_instance.h"
@@ -102,6 +103,7 @@
     void logRelayed(const std::string& request, const relay::RelayResult& result);
     void logLoad();
     void publishSelf();
+    void onNodeSilent(const std::string& name);
     void onLedAway();
     void checkStopped();
 
@@ -112,6 +114,7 @@
     policy::RouteTable table_;
     fleet::NodeDirectory directory_;
     fleet::Gossip gossip_;
+    fleet::FailureDetector failure_detector_;
     instance::LocalInstance instance_;
     relay::RelayService relay_;
     entry::RelaySelector selector_;
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "sim/sidecar_fleet.h"
+#include "src/base/http_status.h"
 
 using namespace dewcrank;
 
@@ -230,4 +231,24 @@
     }
 }
 
+/// Cut machines reset nothing: without a detector, calls to them hang until their time-outs.
+BOOST_AUTO_TEST_CASE(calls_at_relays_that_fall_silent_go_elsewhere) {
+    sim::SidecarFleet fleet(1, services());
+    fleet.putTable("browse", "desk", "leaf");
+    fleet.runFor(4s);
+    fleet.instance(1).drain();  // Its zone's calls go to two other zones, one of which is cut off.
+    for (const std::size_t machine : {0U, 2U}) {
+        fleet.instance(machine).options().work = 500ms;  // Enough that some run there then.
+    }
+    fleet.generateLoad(60, fleet.queue().now() + 16s, 0);
+    kFaults.at("zone cut off")(fleet);
+    fleet.runFor(20s);
+    int timeouts = 0;
+    for (const auto& request : fleet.requests()) {
+        const bool is_outside = request->entry != "m0" && request->entry != "m3" && request->entry != "m6";
+        timeouts += is_outside && request->status == kHttpGatewayTimeout ? 1 : 0;
+    }
+    BOOST_TEST(timeouts == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/fleet/failure_detector_test.cc
@@ -0,0 +1,126 @@
+#include "src/fleet/failure_detector.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "src/adapters/seeded_random.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+constexpr Duration kRoundTrip = 1ms;
+
+/// Answers gossip, or says nothing until the time-out.
+class ScriptedNodes : public BackEndPort {
+public:
+    explicit ScriptedNodes(Clock& clock) : clock_(clock) {}
+    AttemptHandle send(const std::string&, HttpRequest, Duration timeout, Callback callback) override {
+        ++sent;
+        AttemptResult result;
+        result.outcome = answers ? AttemptOutcome::kAnswered : AttemptOutcome::kUnknown;
+        result.answer.status = 200;
+        auto attempt = std::make_unique<Running>();
+        attempt->timer = clock_.startTimer(answers ? kRoundTrip : timeout,
+                                           [result, callback = std::move(callback)] { callback(result); });
+        return attempt;
+    }
+    bool answers = true;
+    int sent = 0;
+
+private:
+    struct Running : Attempt {
+        TimerHandle timer;
+    };
+    Clock& clock_;
+};
+
+wire::NodeRecord recordOf(const std::string& name, std::uint64_t incarnation) {
+    wire::NodeRecord record;
+    record.set_name(name);
+    record.set_incarnation(incarnation);
+    record.set_address(name + ":1");
+    return record;
+}
+
+struct DetectorFixture {
+    DetectorFixture() {
+        directory.merge(recordOf("a", 1));
+        detector.signalSilent().connect([this](const std::string& name) { silent.push_back(name); });
+    }
+    [[nodiscard]] bool isSuspected() const { return fleet::NodeDirectory::isSuspected(*directory.find("a")); }
+
+    tests::VirtualTime time;
+    adapters::SeededRandom random{1};
+    tests::RecordingLog log;
+    ScriptedNodes nodes{time.clock};
+    policy::RouteTable table;
+    fleet::NodeDirectory directory{time.clock, recordOf("self", 1)};
+    fleet::Gossip gossip{time.clock, random, log, nodes, directory, table, {}};
+    fleet::FailureDetector detector{time.clock, directory, gossip, {}};
+    std::vector<std::string> silent;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_fleet_failure_detector, DetectorFixture)
+
+BOOST_AUTO_TEST_CASE(a_node_that_answers_is_not_probed) {
+    detector.onCallSent("a");
+    for (int answer = 0; answer < 10; ++answer) {
+        time.advance(200ms);
+        directory.onReached("a");
+    }
+    detector.onCallEnded("a");
+    time.advance(10s);
+    BOOST_TEST(nodes.sent == 0);
+    BOOST_TEST(silent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_node_that_answers_its_probe_is_not_suspected) {
+    detector.onCallSent("a");
+    time.advance(1s);
+    BOOST_TEST(nodes.sent >= 2);
+    BOOST_TEST(nodes.sent <= 4);
+    BOOST_TEST(!isSuspected());
+    BOOST_TEST(silent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_does_not_answer_its_probe_is_told_silent_while_calls_run_there) {
+    nodes.answers = false;
+    detector.onCallSent("a");
+    time.advance(590ms);
+    BOOST_TEST(silent.empty());
+    time.advance(20ms);
+    BOOST_TEST(silent == std::vector<std::string>{"a"}, boost::test_tools::per_element());
+    BOOST_TEST(isSuspected());
+}
+
+BOOST_AUTO_TEST_CASE(a_suspected_node_is_probed_ever_less_often_until_it_answers) {
+    nodes.answers = false;
+    directory.onUnreachable("a");
+    time.advance(20s);
+    BOOST_TEST(isSuspected());
+    BOOST_TEST(nodes.sent >= 8);
+    BOOST_TEST(nodes.sent <= 13);
+    BOOST_TEST(silent.empty());  // No call runs there.
+    nodes.answers = true;
+    time.advance(2500ms);
+    BOOST_TEST(!isSuspected());
+    const int sent = nodes.sent;
+    time.advance(10s);
+    BOOST_TEST(nodes.sent == sent);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_starts_anew_is_not_suspected_for_its_former_life) {
+    nodes.answers = false;
+    directory.onUnreachable("a");
+    directory.merge(recordOf("a", 2));
+    BOOST_TEST(!isSuspected());
+    time.advance(5s);
+    BOOST_TEST(nodes.sent == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -19,7 +19,7 @@
 
 struct DirectoryFixture {
     tests::VirtualTime time;
-    fleet::NodeDirectory directory{time.clock, {}, recordOf("self", 5, 1)};
+    fleet::NodeDirectory directory{time.clock, recordOf("self", 5, 1)};
 };
 
 }  // namespace
@@ -45,30 +45,30 @@
     BOOST_TEST(directory.self().incarnation() == 9U);
 }
 
-BOOST_AUTO_TEST_CASE(failed_contacts_avoid_a_node_for_longer_each_time_until_it_is_reached) {
+BOOST_AUTO_TEST_CASE(a_failed_contact_makes_a_node_suspected_until_it_is_reached) {
+    std::vector<std::string> told;
+    directory.signalSuspected().connect([&](const std::string& name) { told.push_back(name); });
     directory.merge(recordOf("a", 1, 1));
-    BOOST_TEST((directory.onUnreachable("a") == 250ms));
-    BOOST_TEST((directory.onUnreachable("a") == 500ms));
-    BOOST_TEST(directory.isAvoided(*directory.find("a")));
-    time.advance(600ms);
-    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
-    for (int count = 0; count < 20; ++count) {
-        BOOST_TEST((directory.onUnreachable("a") <= 2s));
-    }
+    BOOST_TEST(!directory.isSuspected(*directory.find("a")));
+    directory.onUnreachable("a");
+    BOOST_TEST(directory.isSuspected(*directory.find("a")));
+    time.advance(60s);
+    BOOST_TEST(directory.isSuspected(*directory.find("a")));
     directory.onReached("a");
-    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
-    BOOST_TEST((directory.onUnreachable("a") == 250ms));
+    BOOST_TEST(!directory.isSuspected(*directory.find("a")));
+    BOOST_TEST((directory.find("a")->last_heard == time.clock.now()));
+    BOOST_TEST(told == std::vector<std::string>{"a"}, boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(a_new_life_is_not_avoided_for_the_old_one) {
+BOOST_AUTO_TEST_CASE(a_new_life_is_not_suspected_for_the_old_one) {
     directory.merge(recordOf("a", 1, 1));
     directory.onUnreachable("a");
     directory.merge(recordOf("a", 2, 1));
-    BOOST_TEST(!directory.isAvoided(*directory.find("a")));
+    BOOST_TEST(!directory.isSuspected(*directory.find("a")));
 }
 
 BOOST_AUTO_TEST_CASE(two_directories_tell_each_other_just_what_is_missing) {
-    fleet::NodeDirectory other(time.clock, {}, recordOf("other", 1, 1));
+    fleet::NodeDirectory other(time.clock, recordOf("other", 1, 1));
     directory.merge(recordOf("a", 1, 2));
     directory.merge(recordOf("b", 1, 1));
     other.merge(recordOf("a", 1, 1));
