Try failures of instances elsewhere, and send less to instances that fail

Cause: an instance's 500 went straight to the caller. A failed inner call fails the whole tree above it, unsafe roots included, which their callers may not repeat; and an instance that fails a large part of its calls kept its share. Ruled out: a failing bottleneck (the failures remain at half load); lost answers, which are repeated already. Change: a 500 of a repeatable route is tried at another instance, within attempts and the shared budget, if there is as much time left as was used and no overload is reported below; the failure is given if nothing better comes. A relay's cost rises with the share of its calls that failed in the last two seconds.

--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -10,7 +10,6 @@
 constexpr Duration kServesOn = 2s;  ///< After the acknowledged announcement of its end.
 constexpr Duration kLatestBeat = 4s;
 constexpr Duration kInnerTimeout = 1s;
-constexpr int kInternalError = 500;
 }  // namespace
 
 SidecarInstance::SidecarInstance(EventQueue& queue, Network& network, RandomSource& random, const std::string& zone,
@@ -143,7 +142,7 @@
     }
     HttpAnswer answer;
     const auto id = std::string(running.request.headers.get(names_.request_id));
-    answer.status = kHttpOk;
+    answer.status = random_.unit() < options_.errors ? kHttpInternalServerError : kHttpOk;
     answer.headers.set(names_.request_id, id);
     if (random_.unit() < options_.spoiled) {
         answer.body = "spoiled";
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -23,6 +23,7 @@
     Duration work = 50ms;
     Duration heartbeat_interval = 1500ms;
     double answer_lost = 0;  ///< Share of the runs whose answer is lost.
+    double errors = 0;       ///< Share of the runs that end with a failure of their own.
     double spoiled = 0;      ///< Share of the answers that come without their signature.
     double late_beats = 0;   ///< Share of the heartbeats that arrive up to 4 s late.
     std::string inner_host;  ///< Each run first calls this host through its own node; empty: none.
--- a/src/base/http_status.h
+++ b/src/base/http_status.h
@@ -15,6 +15,7 @@
 inline constexpr int kHttpMisdirected = 421;
 inline constexpr int kHttpPreconditionRequired = 428;
 inline constexpr int kHttpTooManyRequests = 429;
+inline constexpr int kHttpInternalServerError = 500;
 inline constexpr int kHttpNotImplemented = 501;
 inline constexpr int kHttpBadGateway = 502;
 inline constexpr int kHttpServiceUnavailable = 503;
--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -77,6 +77,15 @@
     return shareOf(control) >= 1 || random_.unit() < admittedOf(control, rank);
 }
 
+double Admission::levelOf(const std::string& service) const {
+    const auto bottleneck = bottlenecks_.find(service);
+    if (bottleneck == bottlenecks_.end()) {
+        return 1;
+    }
+    const auto control = controls_.find(bottleneck->second);
+    return control == controls_.end() ? 1 : shareOf(control->second);
+}
+
 Admission::State Admission::leastShare() const {
     State least;
     for (const auto& [bottleneck, control] : controls_) {
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -39,6 +39,8 @@
     /// @param is_repeat the caller has asked before: repeats are refused before all others, so
     /// that impatience gains nothing and what is refused is refused once.
     bool admits(const std::string& service, std::uint32_t priority, bool is_repeat);
+    /// The share of requests for a service that its bottleneck can take, whatever their priority.
+    [[nodiscard]] double levelOf(const std::string& service) const;
     /// A relay of `service` has reported its bottleneck.
     void onReport(const std::string& service, const Bottleneck& bottleneck);
     /// The bottleneck for which least is admitted.
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -127,9 +127,18 @@
         services_.observe(plan_, result);
     }
     offered_ += result.was_offered ? 1 : 0;
+    const bool has_failed = isOwnFailure(result);
+    if (result.was_offered && result.outcome != relay::RelayOutcome::kNotRun) {
+        services_.selector.onOutcome(relay, has_failed);
+    }
     switch (result.outcome) {
         case relay::RelayOutcome::kAnswered:
             logAnswered(result, relay);
+            if (has_failed && mayRepeatFailure()) {
+                failure_ = std::move(result.answer);
+                sendToNext();
+                return;
+            }
             finish(std::move(result.answer), EntryEnd::kAnswered, "none");
             return;
         case relay::RelayOutcome::kNotRun:
@@ -140,6 +149,19 @@
     }
 }
 
+/// An instance's 504 says that the time was up, which tells nothing of the instance.
+bool EntryCall::isOwnFailure(const relay::RelayResult& result) {
+    return result.outcome == relay::RelayOutcome::kUnknown || result.answer.status == kHttpInternalServerError;
+}
+
+/// Another instance may do better, unless what runs below is overloaded: there a repeated tree
+/// would take the room of a new one.
+bool EntryCall::mayRepeatFailure() const {
+    const bool has_time = remaining() > services_.clock.now() - began_;
+    return plan_.route.is_repeatable() && offered_ < plan_.route.max_attempts() && has_time &&
+           !services_.is_overloaded(plan_) && services_.selector.hasReachable(plan_.service, tried_);
+}
+
 void EntryCall::onNotRun(const relay::RelayResult& result) {
     is_overload_ =
         result.reason == relay::RelayReason::kQueueTooLong || result.reason == relay::RelayReason::kQueueTimeout;
@@ -165,6 +187,9 @@
 
 void EntryCall::onDeadline() {
     may_have_run_ = may_have_run_ || !relay_.empty();
+    if (!relay_.empty()) {
+        services_.selector.onOutcome(relay_, true);
+    }
     giveUp("timeout", true);
 }
 
@@ -195,6 +220,10 @@
 
 void EntryCall::giveUp(const char* reason, bool is_timeout) {
     stopAttempt();
+    if (failure_) {
+        finish(std::move(*failure_), EntryEnd::kAnswered, "none");
+        return;
+    }
     HttpAnswer answer;
     answer.headers.set("Content-Type", "text/plain");
     answer.body = std::string(reason) + "\n";
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -65,6 +66,8 @@
     EntryKnobs knobs;
     /// Told of each result that a relay has reported.
     std::function<void(const EntryPlan&, const relay::RelayResult&)> observe;
+    /// True if relays report that less than all is to be asked of the service, or of one below it.
+    std::function<bool(const EntryPlan&)> is_overloaded;
     Weakening weakening;  ///< Tests only.
 };
 
@@ -81,7 +84,8 @@
 };
 
 /// State machine of one call: choose a relay, send, judge; again at another relay while the
-/// request has provably not run, or may run twice and budget and attempts allow it.
+/// request has provably not run, or may run twice and budget and attempts allow it. A failure that
+/// an instance answers with counts as the latter.
 ///
 /// Exactly one answer is given, at once when it is known: the instance's own; 503 with a time
 /// to come back if the request has provably not run; 502 or 504 if that is not known.
@@ -110,6 +114,8 @@
     void onRelayLost(const std::string& reason, bool was_sent);
     std::string relayEnded();
     void onResult(relay::RelayResult result);
+    [[nodiscard]] static bool isOwnFailure(const relay::RelayResult& result);
+    [[nodiscard]] bool mayRepeatFailure() const;
     void onNotRun(const relay::RelayResult& result);
     void onUnknown();
     void onDeadline();
@@ -133,7 +139,8 @@
     std::size_t refusals_ = 0;
     std::uint32_t offered_ = 0;  ///< Instances that were sent the request.
     bool may_have_run_ = false;
-    bool is_overload_ = false;  ///< Refused for want of room.
+    std::optional<HttpAnswer> failure_;  ///< An instance's own, given if no other instance does better.
+    bool is_overload_ = false;           ///< Refused for want of room.
 };
 
 }  // namespace dewcrank::entry
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -23,7 +23,7 @@
 }
 
 double RelaySelector::costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected) {
-    const auto& seen = seen_[record.name()];
+    const auto& seen = seenOf(record.name());
     const auto age = clock_.now() - seen.reported;
     const double memory =
         std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(knobs_.load_memory.count()), 0.0, 1.0);
@@ -38,6 +38,7 @@
         // A full service is one queue, whatever the zone.
         cost += knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
     }
+    cost += knobs_.failure_cost * seen.failures.fadedAt(clock_.now());
     if (is_suspected) {
         cost += knobs_.suspected_cost;
     }
@@ -77,18 +78,22 @@
 }
 
 void RelaySelector::onSent(const std::string& node) {
-    ++seen_[node].in_flight;
+    ++seenOf(node).in_flight;
 }
 
 void RelaySelector::onEnded(const std::string& node) {
-    --seen_[node].in_flight;
+    --seenOf(node).in_flight;
 }
 
 void RelaySelector::onLoad(const std::string& node, const relay::QueueLoad& load) {
-    auto& seen = seen_[node];
+    auto& seen = seenOf(node);
     seen.load = load;
     seen.reported = clock_.now();
     seen.in_flight_at_report = seen.in_flight;
 }
 
+void RelaySelector::onOutcome(const std::string& node, bool has_failed) {
+    seenOf(node).failures.add(clock_.now(), has_failed ? 1 : 0);
+}
+
 }  // namespace dewcrank::entry
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "src/base/decaying_mean.h"
 #include "src/fleet/node_directory.h"
 #include "src/ports/clock.h"
 #include "src/ports/random_source.h"
@@ -21,6 +22,10 @@
     double random_cost = 0.05;    ///< Uniform up to this: keeps entries from choosing alike.
     double suspected_cost = 100;  ///< Chosen only if there is no other.
     Duration load_memory = 2s;    ///< Reported loads fade over this time.
+    /// Of a relay all of whose calls fail lately; less in proportion. Such a relay goes on getting
+    /// some calls as its cost fades, so that its recovery is seen.
+    double failure_cost = 3;
+    Duration failure_memory = 2s;
 };
 
 /// Where a request is sent.
@@ -43,17 +48,23 @@
     void onSent(const std::string& node);
     void onEnded(const std::string& node);
     void onLoad(const std::string& node, const relay::QueueLoad& load);
+    /// A call that an instance was sent has ended. @param has_failed the instance answered with a
+    /// failure of its own, spoiled its answer, or gave none.
+    void onOutcome(const std::string& node, bool has_failed);
     /// Relays that serve a service now.
     [[nodiscard]] std::size_t relayCount(const std::string& service) const;
 
 private:
     struct Seen {
+        explicit Seen(Duration failure_memory) : failures(failure_memory) {}
         relay::QueueLoad load;
         TimePoint reported{};
         int in_flight = 0;
         int in_flight_at_report = 0;
+        DecayingMean failures;  ///< 1 for each call that failed, 0 for each other.
     };
     [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
+    Seen& seenOf(const std::string& node) { return seen_.try_emplace(node, knobs_.failure_memory).first->second; }
     double costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected);
 
     Clock& clock_;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -16,6 +16,8 @@
 constexpr double kLoggedDemand = 0.8;
 /// Of one inner call's report in the moving average of what is below.
 constexpr double kBelowWeight = 0.2;
+/// From this level on a service counts as not overloaded.
+constexpr double kUnloadedLevel = 0.95;
 /// A caller that has less than this part of its kind's usual time has asked before.
 constexpr double kFreshShare = 0.97;
 constexpr const char* kNotReadyRetryAfter = "0.5";
@@ -75,6 +77,7 @@
           settings_.header_names,
           settings_.knobs.entry,
           [this](const entry::EntryPlan& plan, const relay::RelayResult& result) { onRelayResult(plan, result); },
+          [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
           settings_.knobs.weakening},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
     instance_.signalChanged().connect([this] { publishSelf(); });
@@ -243,6 +246,14 @@
     }
 }
 
+bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
+    const auto below = below_.find(plan.service);
+    const bool is_below = below != below_.end() &&
+                          ports_.clock.now() - below->second.reported < settings_.knobs.below_memory &&
+                          below->second.bottleneck.level < kUnloadedLevel;
+    return is_below || admission_.levelOf(plan.service) < kUnloadedLevel;
+}
+
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
     if (result.bottleneck.empty()) {
         addBottleneck(&result);  // The own relay's.
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -97,6 +97,7 @@
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
     void addBottleneck(relay::RelayResult* result) const;
+    [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
     [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
     void onCallEnded(CallNumber number, const entry::EntryReport& report);
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -231,6 +231,19 @@
     }
 }
 
+/// Callers of a route that may be repeated see hardly any failure of single instances.
+BOOST_AUTO_TEST_CASE(failures_of_instances_are_tried_elsewhere) {
+    sim::SidecarFleet fleet(1, services());
+    fleet.putTable("browse", "desk", "leaf");
+    fleet.runFor(4s);
+    fleet.instance(0).options().errors = 0.4;
+    fleet.generateLoad(60, fleet.queue().now() + 16s, 0);
+    fleet.runFor(20s);
+    BOOST_TEST(fleet.requests().size() > 900U);
+    BOOST_TEST(fleet.answered(kHttpInternalServerError) <= 3U);
+    BOOST_TEST(fleet.breaches().empty());
+}
+
 /// Cut machines reset nothing: without a detector, calls to them hang until their time-outs.
 BOOST_AUTO_TEST_CASE(calls_at_relays_that_fall_silent_go_elsewhere) {
     sim::SidecarFleet fleet(1, services());
--- /dev/null
+++ b/tests/unit/entry/relay_selector_test.cc
@@ -0,0 +1,89 @@
+#include "src/entry/relay_selector.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+#include "src/adapters/seeded_random.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+wire::NodeRecord recordOf(const std::string& name, const std::string& zone) {
+    wire::NodeRecord record;
+    record.set_name(name);
+    record.set_incarnation(1);
+    record.set_zone(zone);
+    record.set_address(name + ":1");
+    record.mutable_instance()->set_service("desk");
+    record.mutable_instance()->set_id("i-" + name);
+    record.mutable_instance()->set_slots(20);
+    record.mutable_instance()->set_state(wire::INSTANCE_READY);
+    return record;
+}
+
+/// A node whose own instance serves something else.
+wire::NodeRecord selfRecord() {
+    auto record = recordOf("self", "north");
+    record.mutable_instance()->set_service("other");
+    return record;
+}
+
+struct SelectorFixture {
+    SelectorFixture() {
+        for (const char* name : {"a", "b", "c"}) {
+            directory.merge(recordOf(name, "north"));
+        }
+    }
+    /// How often each relay is chosen; each call ends well but for those of `failing`.
+    std::map<std::string, int> chosenIn(int calls, const std::string& failing) {
+        std::map<std::string, int> chosen;
+        for (int call = 0; call < calls; ++call) {
+            const auto target = selector.choose("desk", {});
+            ++chosen[target.node];
+            selector.onOutcome(target.node, target.node == failing);
+            time.advance(5ms);
+        }
+        return chosen;
+    }
+
+    tests::VirtualTime time;
+    adapters::SeededRandom random{1};
+    fleet::NodeDirectory directory{time.clock, selfRecord()};
+    entry::RelaySelector selector{time.clock, random, directory, {}};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_entry_relay_selector, SelectorFixture)
+
+BOOST_AUTO_TEST_CASE(equal_relays_of_the_own_zone_get_equal_shares) {
+    directory.merge(recordOf("far", "east"));
+    const auto chosen = chosenIn(3000, "");
+    for (const char* name : {"a", "b", "c"}) {
+        BOOST_TEST(chosen.at(name) > 900);
+    }
+    BOOST_TEST(!chosen.contains("far"));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_whose_calls_fail_gets_few_and_its_share_again_when_they_succeed) {
+    const auto failing = chosenIn(2000, "b");
+    BOOST_TEST(failing.at("b") < 100);
+    BOOST_TEST(failing.at("b") > 0);
+    time.advance(10s);
+    const auto mended = chosenIn(2000, "");
+    BOOST_TEST(mended.at("b") > 400);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspected_relay_is_chosen_only_if_there_is_no_other) {
+    directory.onUnreachable("a");
+    directory.onUnreachable("b");
+    BOOST_TEST(chosenIn(50, "").at("c") == 50);
+    directory.onUnreachable("c");
+    BOOST_TEST(!selector.hasReachable("desk", {}));
+    BOOST_TEST(!selector.choose("desk", {}).node.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
