Let a fleet of one machine serve, and forget long deadlines

Ruled out: the store (it was read). Change: a node is ready when it has the store's list or has heard of another node; the usual deadline of a route is the longest of the last 10 to 20 s, in a class of its own.

--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -47,7 +47,7 @@
     wire::Route route;
     std::string service;
     TimePoint deadline{};
-    double caller_deadline = 0;  ///< Seconds that the caller gives.
+    Duration caller_deadline{};  ///< The time that the caller gives.
 };
 
 /// What calls use of their node. Outlives every call.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -18,8 +18,6 @@
 constexpr double kBelowWeight = 0.2;
 /// From this level on a service counts as not overloaded.
 constexpr double kUnloadedLevel = 0.95;
-/// A caller that has less than this part of its kind's usual time has asked before.
-constexpr double kFreshShare = 0.97;
 constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
@@ -117,7 +115,8 @@
 }
 
 bool SidecarNode::isReady() const {
-    return table_.isKnown() && !is_stopping_ && !directory_.others().empty();
+    const bool knows_fleet = store_session_.hasList() || !directory_.others().empty();
+    return table_.isKnown() && !is_stopping_ && knows_fleet;
 }
 
 void SidecarNode::publishSelf() {
@@ -192,7 +191,7 @@
     request.headers.set(names.caller_service, settings_.service);
     entry::EntryPlan plan;
     plan.route = route;
-    plan.caller_deadline = std::chrono::duration<double>(wanted).count();
+    plan.caller_deadline = wanted;
     plan.service = serviceFor(route);
     plan.deadline = ports_.clock.now() + (route.timeout_ms() == 0 ? wanted : std::min(wanted, longest));
     plan.request = std::move(request);
@@ -214,9 +213,7 @@
 
 /// Inner calls are never refused here: what was done for them would be wasted.
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
-    auto& longest = longest_deadlines_[plan.route.name()];
-    longest = std::max(longest, plan.caller_deadline);
-    const bool is_repeat = plan.caller_deadline < longest * kFreshShare;
+    const bool is_repeat = deadlines_.isRepeat(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
     return inner_routes_.contains(plan.route.name()) ||
            admission_.admits(plan.service, plan.route.priority(), is_repeat);
 }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -14,6 +14,7 @@
 #include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
+#include "src/entry/usual_deadlines.h"
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
@@ -122,8 +123,8 @@
     entry::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
-    std::map<std::string, double> longest_deadlines_;  ///< Seconds that callers give, by route.
-    std::set<std::string> inner_routes_;               ///< As relays have told.
+    entry::UsualDeadlines deadlines_;
+    std::set<std::string> inner_routes_;  ///< As relays have told.
     /// The bottleneck below this node's instance, as its inner calls have shown.
     struct Below {
         entry::Bottleneck bottleneck;
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -231,6 +231,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_fleet_of_one_machine_serves) {
+    sim::SidecarFleet fleet(1, {{instanceOf("leaf", 20ms, 10), 1}});
+    fleet.putTable("leaf", "leaf", "leaf");
+    fleet.runFor(4s);
+    BOOST_TEST(fleet.node(0)->isReady());
+    fleet.generateLoad(20, fleet.queue().now() + 5s, 0.3);
+    fleet.runFor(8s);
+    BOOST_TEST(fleet.requests().size() > 50U);
+    BOOST_TEST(fleet.answered(kHttpOk) == fleet.requests().size());
+}
+
 /// Callers of a route that may be repeated see hardly any failure of single instances.
 BOOST_AUTO_TEST_CASE(failures_of_instances_are_tried_elsewhere) {
     sim::SidecarFleet fleet(1, services());
