--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -1,5 +1,7 @@
 #include "apps/sidecar/sidecar_daemon.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <csignal>
 #include <random>
 
@@ -98,6 +100,7 @@
 }
 
 void SidecarDaemon::run() {
+    google::protobuf::SetLogHandler(nullptr);  // What cannot be read is an event of this node's own log.
     loop_.onSignal(SIGTERM, [this] { onTerminate(); });
     loop_.onSignal(SIGINT, [this] { onTerminate(); });
     loop_.onSignal(SIGHUP, [this] { onReload(); });
--- a/src/adapters/http_parser.cc
+++ b/src/adapters/http_parser.cc
@@ -103,6 +103,8 @@
     head_bytes_ = 0;
     length_headers_ = 0;
     in_value_ = false;
+    fed_bytes_ = 0;
+    value_end_ = 0;
     url_.clear();
     field_.clear();
     value_.clear();
@@ -113,9 +115,9 @@
 HttpMessageParser::State HttpMessageParser::feed(const char* data, std::size_t size, std::size_t* consumed) {
     static const http_parser_settings settings = makeSettings();
     chunk_start_ = data;
-    value_end_ = nullptr;
     const bool head_was_open = !has_whole_head_;
     *consumed = http_parser_execute(&parser_, &settings, data, size);
+    fed_bytes_ += *consumed;
     if (is_complete_) {
         return State::kComplete;
     }
@@ -156,12 +158,13 @@
 
 /// A value that goes on at another place than where it ended has been folded over lines.
 int HttpMessageParser::onHeaderValue(const char* at, std::size_t length) {
-    if (in_value_ && at != value_end_ && at != chunk_start_) {
+    const auto begin = fed_bytes_ + static_cast<std::size_t>(at - chunk_start_);
+    if (in_value_ && begin != value_end_) {
         return fail(State::kMalformed);
     }
     in_value_ = true;
     value_.append(at, length);
-    value_end_ = at + length;
+    value_end_ = begin + length;
     return 0;
 }
 
--- a/src/adapters/http_parser.h
+++ b/src/adapters/http_parser.h
@@ -83,8 +83,9 @@
     std::size_t head_bytes_ = 0;
     std::size_t length_headers_ = 0;
     bool in_value_ = false;
-    const char* chunk_start_ = nullptr;
-    const char* value_end_ = nullptr;
+    const char* chunk_start_ = nullptr;  ///< Of the bytes that are being fed.
+    std::size_t fed_bytes_ = 0;          ///< Of this message, before them.
+    std::size_t value_end_ = 0;          ///< Where the value that is being read has come to, counted as they are.
     std::string url_;
     std::string field_;
     std::string value_;
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -174,6 +174,7 @@
     HttpAnswer answer;
     wire::Gossip received;
     if (!received.ParseFromString(request.body)) {
+        log_.write(Event("gossip_refused").with("step", "parse").with("bytes", request.body.size()));
         answer.status = kHttpBadRequest;
         return answer;
     }
