Keep levels by route, and learn which calls a route makes

Ruled out: the limit of their own service (use 0.1 to 0.3). Change: levels are kept by route; a relay tells for each route the least level of the calls that its requests make. These are learned from deadlines: an inner call ends at its request's deadline.

--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -15,8 +15,8 @@
 Admission::Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs)
     : clock_(clock), random_(random), knobs_(knobs) {}
 
-void Admission::onReport(const std::string& service, const Bottleneck& bottleneck) {
-    bottlenecks_[service] = bottleneck.service;
+void Admission::onReport(const std::string& route, const Bottleneck& bottleneck) {
+    bottlenecks_[route] = bottleneck.service;
     auto& control = controls_[bottleneck.service];
     const auto now = clock_.now();
     const bool is_old = now - control.reported > knobs_.level_memory;
@@ -65,8 +65,8 @@
     return found == admitted.end() ? 1.0 : found->second;
 }
 
-bool Admission::admits(const std::string& service, std::uint32_t priority, bool is_repeat) {
-    const auto bottleneck = bottlenecks_.find(service);
+bool Admission::admits(const std::string& route, std::uint32_t priority, bool is_repeat) {
+    const auto bottleneck = bottlenecks_.find(route);
     if (bottleneck == bottlenecks_.end()) {
         return true;
     }
@@ -77,8 +77,8 @@
     return shareOf(control) >= 1 || random_.unit() < admittedOf(control, rank);
 }
 
-double Admission::levelOf(const std::string& service) const {
-    const auto bottleneck = bottlenecks_.find(service);
+double Admission::levelOf(const std::string& route) const {
+    const auto bottleneck = bottlenecks_.find(route);
     if (bottleneck == bottlenecks_.end()) {
         return 1;
     }
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -15,7 +15,8 @@
 
 namespace dewcrank::entry {
 
-/// The service at or below a service of which least is to be asked, as a relay reports it.
+/// The service of which least is to be asked, among those
+/// that a route's requests need, as a relay reports it.
 struct Bottleneck {
     std::string service;
     double level = 1;  ///< Share of the requests to admit.
@@ -35,14 +36,14 @@
 public:
     Admission(Clock& clock, RandomSource& random, AdmissionKnobs knobs);
 
-    /// Decides on a caller's request for a service. @param priority 0 is refused last.
+    /// Decides on a caller's request of a route. @param priority 0 is refused last.
     /// @param is_repeat the caller has asked before: repeats are refused before all others, so
     /// that impatience gains nothing and what is refused is refused once.
-    bool admits(const std::string& service, std::uint32_t priority, bool is_repeat);
-    /// The share of requests for a service that its bottleneck can take, whatever their priority.
-    [[nodiscard]] double levelOf(const std::string& service) const;
-    /// A relay of `service` has reported its bottleneck.
-    void onReport(const std::string& service, const Bottleneck& bottleneck);
+    bool admits(const std::string& route, std::uint32_t priority, bool is_repeat);
+    /// The share of a route's requests that its bottleneck can take, whatever their priority.
+    [[nodiscard]] double levelOf(const std::string& route) const;
+    /// A relay has reported the bottleneck of a route's requests.
+    void onReport(const std::string& route, const Bottleneck& bottleneck);
     /// The bottleneck for which least is admitted.
     struct State {
         std::string bottleneck;
@@ -64,7 +65,7 @@
     Clock& clock_;
     RandomSource& random_;
     AdmissionKnobs knobs_;
-    std::map<std::string, std::string> bottlenecks_;  ///< By service.
+    std::map<std::string, std::string> bottlenecks_;  ///< By route.
     std::map<std::string, Control> controls_;         ///< By bottleneck.
 };
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -67,7 +67,8 @@
       queue_(clock, knobs.queue),
       repeats_(knobs.repeats),
       census_(clock, std::move(share_of)),
-      level_(knobs.level) {
+      level_(knobs.level),
+      call_graph_(knobs.call_graph) {
     instance_.signalChanged().connect([this] {
         if (instance_.isReady()) {
             queue_.setLimit(limitFor(instance_.record().slots()));
@@ -175,6 +176,7 @@
     request.headers.set(names_.expected_instance, running.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(remaining)));
     running.sent = clock_.now();
+    call_graph_.onRunBegan(running.sent, running.request.route, running.request.deadline);
     running.attempt =
         instances_.send(instance_address_, std::move(request), remaining,
                         [this, number](AttemptResult result) { onAttemptEnded(number, std::move(result)); });
@@ -236,9 +238,16 @@
     return judged;
 }
 
+void RelayService::onRunEnded(const Running& running) {
+    if (running.sent != TimePoint{}) {
+        call_graph_.onRunEnded(running.request.route, running.request.deadline);
+    }
+}
+
 void RelayService::finish(Number number, RelayResult result) {
     auto ended = running_.extract(number);
     auto& running = *ended.mapped();
+    onRunEnded(running);
     if (running.is_let_in) {
         const bool is_measured = result.outcome == RelayOutcome::kAnswered;
         const auto time = clock_.now() - running.sent;
@@ -259,6 +268,7 @@
         return;
     }
     auto& running = *cancelled.mapped();
+    onRunEnded(running);
     if (running.ticket != 0) {
         queue_.cancel(running.ticket);
     }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -16,6 +16,7 @@
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
+#include "src/relay/call_graph.h"
 #include "src/relay/caller_census.h"
 #include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
@@ -83,6 +84,7 @@
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     LevelKnobs level;
+    CallGraphKnobs call_graph;
     /// One slot in so many is left free, and at least one of an instance with so many slots.
     std::uint32_t free_slot_in = 16;
     std::uint32_t least_slots_to_leave_free = 8;
@@ -113,6 +115,8 @@
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
     [[nodiscard]] const DemandLevel& level() const { return level_; }
+    /// The calls that the instance makes, by the routes that it serves.
+    [[nodiscard]] CallGraph& callGraph() { return call_graph_; }
 
 private:
     struct Running {
@@ -134,6 +138,7 @@
     void onAttemptEnded(Number number, AttemptResult result);
     RelayResult judge(const Running& running, AttemptResult result);
     RelayResult judgeAnswer(const Running& running, HttpAnswer answer);
+    void onRunEnded(const Running& running);
     void finish(Number number, RelayResult result);
 
     Clock& clock_;
@@ -147,6 +152,7 @@
     retry::RepeatBudget repeats_;
     CallerCensus census_;
     DemandLevel level_;
+    CallGraph call_graph_;
     std::size_t relay_count_ = 1;
     bool is_stopping_ = false;
     Number last_number_ = 0;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -167,6 +167,9 @@
     }
     const auto number = ++last_call_;
     auto planned = plan(std::move(request), *route);
+    if (inner_routes_.contains(route->name())) {
+        relay_.callGraph().onCall(ports_.clock.now(), route->name(), planned.caller_deadline);
+    }
     const bool is_admitted = isAdmitted(planned);
     auto call = std::make_unique<entry::EntryCall>(
         entry_services_, std::move(planned), std::move(reply),
@@ -215,7 +218,7 @@
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
     const bool is_repeat = deadlines_.isRepeat(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
     return inner_routes_.contains(plan.route.name()) ||
-           admission_.admits(plan.service, plan.route.priority(), is_repeat);
+           admission_.admits(plan.route.name(), plan.route.priority(), is_repeat);
 }
 
 double SidecarNode::machineShare(const std::string& service) const {
@@ -230,13 +233,14 @@
     return static_cast<double>(same) / static_cast<double>(all);
 }
 
-/// The own instance, or what its inner calls have met, whichever is to be asked less.
-void SidecarNode::addBottleneck(relay::RelayResult* result) const {
+/// The own instance, or what the inner calls of this route have met, whichever is to be asked less.
+void SidecarNode::addBottleneck(const std::string& route, relay::RelayResult* result) {
     result->bottleneck = settings_.service;
     result->level = relay_.level().level();
-    for (const auto& [service, below] : below_) {
-        const bool is_recent = ports_.clock.now() - below.reported < settings_.knobs.below_memory;
-        if (is_recent && below.bottleneck.level < result->level) {
+    const auto now = ports_.clock.now();
+    for (const auto& [callee, below] : below_) {
+        const bool is_recent = now - below.reported < settings_.knobs.below_memory;
+        if (is_recent && below.bottleneck.level < result->level && relay_.callGraph().depends(route, callee)) {
             result->bottleneck = below.bottleneck.service;
             result->level = below.bottleneck.level;
         }
@@ -244,20 +248,20 @@
 }
 
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    const auto below = below_.find(plan.service);
+    const auto below = below_.find(plan.route.name());
     const bool is_below = below != below_.end() &&
                           ports_.clock.now() - below->second.reported < settings_.knobs.below_memory &&
                           below->second.bottleneck.level < kUnloadedLevel;
-    return is_below || admission_.levelOf(plan.service) < kUnloadedLevel;
+    return is_below || admission_.levelOf(plan.route.name()) < kUnloadedLevel;
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
     if (result.bottleneck.empty()) {
-        addBottleneck(&result);  // The own relay's.
+        addBottleneck(plan.route.name(), &result);  // The own relay's.
     }
     if (result.is_inner) {
         inner_routes_.insert(plan.route.name());
-        auto& below = below_[plan.service];
+        auto& below = below_[plan.route.name()];
         const bool is_same = below.bottleneck.service == result.bottleneck;
         const double former = is_same ? below.bottleneck.level : result.level;
         below.bottleneck = {result.bottleneck, former + (result.level - former) * kBelowWeight};
@@ -265,7 +269,7 @@
         return;
     }
     inner_routes_.erase(plan.route.name());
-    admission_.onReport(plan.service, {result.bottleneck, result.level});
+    admission_.onReport(plan.route.name(), {result.bottleneck, result.level});
 }
 
 void SidecarNode::onNodeSilent(const std::string& name) {
@@ -312,10 +316,11 @@
     ++counters_.relayed;
     const auto number = ++last_call_;
     const std::string id(request.request.headers.get(settings_.header_names.request_id));
-    relayed_[number] = relay_.start(std::move(request), [this, number, id, reply](relay::RelayResult result) {
+    const auto route = request.route;
+    relayed_[number] = relay_.start(std::move(request), [this, number, id, route, reply](relay::RelayResult result) {
         relayed_.erase(number);
         logRelayed(id, result);
-        addBottleneck(&result);
+        addBottleneck(route, &result);
         reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
     });
     return number;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -97,7 +97,7 @@
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
-    void addBottleneck(relay::RelayResult* result) const;
+    void addBottleneck(const std::string& route, relay::RelayResult* result);
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
     [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
@@ -130,7 +130,7 @@
         entry::Bottleneck bottleneck;
         TimePoint reported{};
     };
-    std::map<std::string, Below> below_;                      ///< By service that the instance calls.
+    std::map<std::string, Below> below_;                      ///< By route that the instance calls.
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
     std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
