Let calls of trees that have gone on in first; lower the least level

Cause: under standing overload one call in seven was refused at the deepest service; a tree makes four of them in turn, so half of the admitted trees failed after part of that service's work was done. The level stood at its floor of 0.15 with a demand of 1.4. Change: a relay lets in calls that give less than their route's usual time before others, and lets them wait for 0.6 of their time; first calls wait for 0.2 (was 0.3). Least level 0.05 (was 0.15).

--- a/src/relay/demand_level.h
+++ b/src/relay/demand_level.h
@@ -20,7 +20,7 @@
     double target = 0.97;
     double largest_fall = 0.6;  ///< Factor of one correction at least.
     double largest_rise = 1.6;  ///< Factor of one correction at most.
-    double least_level = 0.15;
+    double least_level = 0.05;
     /// Less than this many arrivals in a window say nothing.
     std::uint32_t least_arrivals = 10;
     /// From this share of arrivals that had to wait on, the instance counts as saturated.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -120,19 +120,32 @@
     return number;
 }
 
-/// Requests are let in by the time until which they can wait, and by priority.
+/// Requests are let in by the time until which they can wait, and by priority. Calls of trees that
+/// have used up a part of their time go before all others and may wait for longer: refused, they
+/// would waste what the calls before them have done here, while a first call wastes nothing yet.
+QueueRequest RelayService::placeInQueue(RelayRequest* request) {
+    const auto now = clock_.now();
+    const auto remaining = request->deadline - now;
+    const bool is_shortened = deadlines_.isShortened(now, request->route, remaining);
+    census_.onRequest(request->route, std::string(request->request.headers.get(names_.caller_service)));
+    const bool is_inner = census_.isInner(request->route);
+    const bool is_continuing = is_inner && is_shortened;
+    if (is_inner) {
+        const double share = is_continuing ? knobs_.continuing_wait_share : knobs_.inner_wait_share;
+        request->longest_wait =
+            std::max(request->longest_wait, std::chrono::duration_cast<Duration>(remaining * share));
+    }
+    QueueRequest place;
+    place.give_up_at = std::min(request->deadline, now + request->longest_wait);
+    place.order = is_continuing ? now : place.give_up_at + knobs_.priority_step * request->priority;
+    return place;
+}
+
 void RelayService::enterQueue(Number number) {
     auto& running = *running_[number];
     auto& request = running.request;
     const auto now = clock_.now();
-    census_.onRequest(request.route, std::string(request.request.headers.get(names_.caller_service)));
-    if (census_.isInner(request.route)) {
-        const auto share = std::chrono::duration_cast<Duration>((request.deadline - now) * knobs_.inner_wait_share);
-        request.longest_wait = std::max(request.longest_wait, share);
-    }
-    QueueRequest entering;
-    entering.give_up_at = std::min(request.deadline, now + request.longest_wait);
-    entering.order = entering.give_up_at + knobs_.priority_step * request.priority;
+    const auto entering = placeInQueue(&request);
     const auto load = queue_.load();
     running.ticket =
         queue_.enter(entering, [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -20,6 +20,7 @@
 #include "src/relay/caller_census.h"
 #include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
+#include "src/relay/usual_deadlines.h"
 #include "src/retry/repeat_budget.h"
 
 namespace dewcrank::relay {
@@ -80,7 +81,9 @@
     Duration least_remaining = 5ms;
     /// Inner calls may wait for this part of the time that they have left: what was done for
     /// them would be wasted.
-    double inner_wait_share = 0.3;
+    double inner_wait_share = 0.2;
+    /// The same for those of trees that have used up a part of their time.
+    double continuing_wait_share = 0.6;
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     LevelKnobs level;
@@ -131,6 +134,7 @@
     [[nodiscard]] std::uint32_t limitFor(std::uint32_t slots) const;
     [[nodiscard]] bool takes(const std::string& instance) const;
     [[nodiscard]] RelayReason refusalOf(const RelayRequest& request);
+    QueueRequest placeInQueue(RelayRequest* request);
     void enterQueue(Number number);
     void refuseLater(Number number, RelayReason reason);
     void onDecision(Number number, InstanceQueue::Decision decision);
@@ -153,6 +157,7 @@
     CallerCensus census_;
     DemandLevel level_;
     CallGraph call_graph_;
+    UsualDeadlines deadlines_;
     std::size_t relay_count_ = 1;
     bool is_stopping_ = false;
     Number last_number_ = 0;
--- a/src/entry/usual_deadlines.h
+++ b/src/relay/usual_deadlines.h
@@ -1,5 +1,5 @@
 /// @file
-/// Tells callers that ask again from those that ask for the first time.
+/// Tells requests whose time was shortened on their way.
 #pragma once
 
 #include <map>
@@ -7,14 +7,15 @@
 
 #include "src/base/time.h"
 
-namespace dewcrank::entry {
+namespace dewcrank::relay {
 
-/// A caller that asks again under a new id gives the time that it has left, which is less than its
-/// kind's usual time. The usual time of a route is the longest that was given lately.
+/// A caller that asks again under a new id gives the time that it has left, and a call made for
+/// another request ends with that: both are less than their route's usual time, which is the
+/// longest that was given lately.
 class UsualDeadlines {
 public:
-    /// Notes a request. @return true if its caller seems to have asked before.
-    bool isRepeat(TimePoint now, const std::string& route, Duration given);
+    /// Notes a request. @return true if it gives less than is usual on its route.
+    bool isShortened(TimePoint now, const std::string& route, Duration given);
 
 private:
     /// The longest deadlines of two spans of time, so that one that is not given any more counts
@@ -27,4 +28,4 @@
     std::map<std::string, Longest> longest_;  ///< By route.
 };
 
-}  // namespace dewcrank::entry
+}  // namespace dewcrank::relay
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -216,7 +216,7 @@
 
 /// Inner calls are never refused here: what was done for them would be wasted.
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
-    const bool is_repeat = deadlines_.isRepeat(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
+    const bool is_repeat = deadlines_.isShortened(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
     return inner_routes_.contains(plan.route.name()) ||
            admission_.admits(plan.route.name(), plan.route.priority(), is_repeat);
 }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -14,7 +14,6 @@
 #include "src/entry/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
-#include "src/entry/usual_deadlines.h"
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
@@ -26,6 +25,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
+#include "src/relay/usual_deadlines.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
 
@@ -123,7 +123,7 @@
     entry::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
-    entry::UsualDeadlines deadlines_;
+    relay::UsualDeadlines deadlines_;
     std::set<std::string> inner_routes_;  ///< As relays have told.
     /// The bottleneck below this node's instance, as its inner calls have shown.
     struct Below {
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -94,6 +94,75 @@
     }
 }
 
+/// Answers when it is told to, and keeps the order in which requests were sent.
+class PacedInstance : public BackEndPort {
+public:
+    AttemptHandle send(const std::string&, HttpRequest request, Duration, Callback callback) override {
+        order.emplace_back(request.headers.get("id"));
+        callbacks.push_back(std::move(callback));
+        return std::make_unique<Attempt>();
+    }
+    void answerFirst() {
+        AttemptResult result;
+        result.outcome = AttemptOutcome::kAnswered;
+        result.answer.status = 500;
+        auto callback = std::move(callbacks.front());
+        callbacks.erase(callbacks.begin());
+        callback(result);
+    }
+    std::vector<std::string> order;
+    std::vector<Callback> callbacks;
+};
+
+BOOST_AUTO_TEST_CASE(calls_of_trees_that_have_gone_on_are_let_in_first_and_may_wait_longer) {
+    tests::VirtualTime time;
+    tests::RecordingLog log;
+    PacedInstance instances;
+    instance::LocalInstance local(time.clock, 8s);
+    const HeaderNames names;
+    relay::RelayService relay(time.clock, log, instances, local, names, "i:1",
+                              [](const std::string& service) { return service == "desk" ? 0.2 : 0.8; }, {});
+    instance::Heartbeat heartbeat;
+    heartbeat.id = "i1";
+    heartbeat.slots = 1;
+    heartbeat.sequence = 1;
+    local.onHeartbeat(heartbeat);
+    std::vector<std::string> refused;
+    const auto start = [&](const std::string& id, Duration given) {
+        relay::RelayRequest request;
+        request.request.headers.set("id", id);
+        request.request.headers.set(names.caller_service, "desk");
+        request.instance = "i1";
+        request.route = "inner";
+        request.deadline = time.clock.now() + given;
+        relay.start(std::move(request), [&refused, id](const relay::RelayResult& result) {
+            if (result.outcome == relay::RelayOutcome::kNotRun) {
+                refused.push_back(id);
+            }
+        });
+        time.advance(1ms);
+    };
+    // Enough calls from one service alone to know that the route is an inner one.
+    for (int call = 0; call < 12; ++call) {
+        start("warm", 700ms);
+        if (!instances.callbacks.empty()) {
+            instances.answerFirst();
+        }
+    }
+    instances.order.clear();
+    start("running", 700ms);
+    start("first", 700ms);
+    start("continuing", 400ms);
+    instances.answerFirst();
+    instances.answerFirst();
+    BOOST_TEST(instances.order == (std::vector<std::string>{"running", "continuing", "first"}),
+               boost::test_tools::per_element());
+    start("late first", 700ms);
+    start("late continuing", 400ms);
+    time.advance(180ms);
+    BOOST_TEST(refused == std::vector<std::string>{"late first"}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(repeats_stay_within_the_part_of_the_bound) {
     retry::RepeatBudget budget({0.2, 40, 10s});
     const TimePoint start(100s);
--- /dev/null
+++ b/tests/unit/relay/usual_deadlines_test.cc
@@ -0,0 +1,31 @@
+#include "src/relay/usual_deadlines.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dewcrank;
+
+BOOST_AUTO_TEST_SUITE(unit_relay_usual_deadlines)
+
+BOOST_AUTO_TEST_CASE(who_gives_less_than_is_usual_on_its_route_has_asked_before) {
+    relay::UsualDeadlines deadlines;
+    const TimePoint now(100s);
+    BOOST_TEST(!deadlines.isShortened(now, "browse", 5000ms));
+    BOOST_TEST(!deadlines.isShortened(now, "browse", 4990ms));
+    BOOST_TEST(deadlines.isShortened(now, "browse", 4500ms));
+    BOOST_TEST(!deadlines.isShortened(now, "band", 800ms));
+}
+
+BOOST_AUTO_TEST_CASE(one_very_long_deadline_is_forgotten) {
+    relay::UsualDeadlines deadlines;
+    TimePoint now(100s);
+    deadlines.isShortened(now, "browse", 600s);
+    int repeats = 0;
+    for (int second = 0; second < 60; ++second) {
+        now += 1s;
+        repeats += deadlines.isShortened(now, "browse", 5000ms) ? 1 : 0;
+    }
+    BOOST_TEST(repeats > 0);
+    BOOST_TEST(repeats <= 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
