Exchange a hash first: gossip between equal directories does not grow with the fleet

Cause: each exchange carried a digest of the whole fleet, 30 B a node, though directories nearly always agree. Ruled out: rarer exchanges (they bound how long a change that was missed stays unknown). Change: an exchange carries a hash of all record versions; only if it differs the digest follows.

--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -80,10 +80,23 @@
     }
 }
 
+/// While the directories agree an exchange is one small message each way, however large the fleet.
 void Gossip::exchangeWith(const std::string& name) {
     if (directory_.find(name) == nullptr || !exchanging_.insert(name).second) {
         return;
     }
+    auto exchange = message();
+    exchange.set_directory_hash(directory_.hash());
+    send(name, exchange, [this, name](const wire::Gossip* answer) {
+        if (answer != nullptr && answer->is_digest_wanted()) {
+            sendDigest(name);
+        } else {
+            exchanging_.erase(name);
+        }
+    });
+}
+
+void Gossip::sendDigest(const std::string& name) {
     auto exchange = message();
     for (auto& version : directory_.digest()) {
         *exchange.add_digest() = std::move(version);
@@ -190,10 +203,12 @@
         for (const auto& name : difference.older) {
             reply.add_wanted(name);
         }
-        if (received.table_version() < table_.version()) {
-            *reply.mutable_table() = table_.whole();
-        }
     }
+    const bool is_exchange = received.digest_size() > 0 || received.directory_hash() != 0;
+    if (is_exchange && received.table_version() < table_.version()) {
+        *reply.mutable_table() = table_.whole();
+    }
+    reply.set_is_digest_wanted(received.directory_hash() != 0 && received.directory_hash() != directory_.hash());
     if (received.table_version() > table_.version()) {
         exchangeWith(received.sender());
     }
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -60,6 +60,7 @@
     void send(const std::string& name, const wire::Gossip& message, Duration timeout, Sent done);
     void onAnswer(const std::string& name, const AttemptResult& result, const Sent& done);
     void mergeAll(const wire::Gossip& message);
+    void sendDigest(const std::string& name);
     void sendWanted(const std::string& name, const wire::Gossip& answer);
     void adopt(const wire::RouteTable& table, const std::string& from);
     std::string randomNode();
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -1,5 +1,7 @@
 #include "src/fleet/node_directory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <tuple>
 
@@ -32,6 +34,7 @@
     *self_.mutable_instance() = instance;
     self_.set_is_stopping(is_stopping);
     self_.set_sequence(self_.sequence() + 1);
+    hash_ = 0;
     signal_self_changed_.emit();
 }
 
@@ -49,6 +52,7 @@
         known.table_version = 0;
     }
     known.record = record;
+    hash_ = 0;
     known.received = clock_.now();
     signal_changed_.emit(record.name());
     return true;
@@ -59,6 +63,7 @@
 void NodeDirectory::refute(const wire::NodeRecord& record) {
     if (isNewer(record, self_)) {
         self_.set_incarnation(record.incarnation() + 1);
+        hash_ = 0;
         signal_self_changed_.emit();
     }
 }
@@ -67,6 +72,7 @@
     if (name == self_.name() || others_.contains(name)) {
         return;
     }
+    hash_ = 0;
     auto& known = others_[name];
     known.record.set_name(name);
     known.record.set_zone(zone);
@@ -121,6 +127,20 @@
     return versions;
 }
 
+/// The sum does not depend on the order in which records are kept.
+std::uint64_t NodeDirectory::hash() const {
+    if (hash_ != 0) {
+        return hash_;
+    }
+    for (const auto& version : digest()) {
+        const auto numbers = std::to_string(version.incarnation()) + " " + std::to_string(version.sequence());
+        const auto text = version.name() + " " + numbers;
+        hash_ += XXH3_64bits(text.data(), text.size());
+    }
+    hash_ = std::max<std::uint64_t>(hash_, 1);
+    return hash_;
+}
+
 NodeDirectory::Difference NodeDirectory::differenceTo(const std::vector<wire::RecordVersion>& digest) const {
     Difference difference;
     std::map<std::string, const wire::RecordVersion*> theirs;
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -57,6 +57,8 @@
     };
     [[nodiscard]] Difference differenceTo(const std::vector<wire::RecordVersion>& digest) const;
     [[nodiscard]] std::vector<wire::RecordVersion> digest() const;
+    /// Equal in two directories that hold the same versions of the same records; never 0.
+    [[nodiscard]] std::uint64_t hash() const;
     /// The record of a node, this one included; null if unknown.
     [[nodiscard]] const wire::NodeRecord* record(const std::string& name) const;
 
@@ -73,6 +75,7 @@
     Clock& clock_;
     wire::NodeRecord self_;
     std::map<std::string, KnownNode> others_;
+    mutable std::uint64_t hash_ = 0;  ///< Of the present records; 0: to be worked out.
     sigc::signal<void(const std::string&)> signal_changed_;
     sigc::signal<void(const std::string&)> signal_suspected_;
     sigc::signal<void()> signal_self_changed_;
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -67,6 +67,20 @@
     BOOST_TEST(!directory.isSuspected(*directory.find("a")));
 }
 
+BOOST_AUTO_TEST_CASE(directories_have_the_same_hash_just_when_they_hold_the_same) {
+    fleet::NodeDirectory other(time.clock, recordOf("other", 1, 1));
+    directory.merge(recordOf("a", 1, 2));
+    directory.merge(other.self());
+    other.merge(directory.self());
+    BOOST_TEST(directory.hash() != other.hash());
+    other.merge(recordOf("a", 1, 1));
+    BOOST_TEST(directory.hash() != other.hash());
+    other.merge(recordOf("a", 1, 2));
+    BOOST_TEST(directory.hash() == other.hash());
+    other.updateSelf({}, true);
+    BOOST_TEST(directory.hash() != other.hash());
+}
+
 BOOST_AUTO_TEST_CASE(two_directories_tell_each_other_just_what_is_missing) {
     fleet::NodeDirectory other(time.clock, recordOf("other", 1, 1));
     directory.merge(recordOf("a", 1, 2));
