--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -22,6 +22,9 @@
     double level = 1;  ///< Share of the requests to admit.
 };
 
+/// From this level on a service counts as not overloaded.
+inline constexpr double kUnloadedLevel = 0.95;
+
 /// Constants of the admission.
 struct AdmissionKnobs {
     /// Each priority is admitted at this share before the next more urgent one is reduced.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -14,10 +14,6 @@
 constexpr Duration kStopCheck = 50ms;
 constexpr Duration kLoadLogInterval = 1s;
 constexpr double kLoggedDemand = 0.8;
-/// Of one inner call's report in the moving average of what is below.
-constexpr double kBelowWeight = 0.2;
-/// From this level on a service counts as not overloaded.
-constexpr double kUnloadedLevel = 0.95;
 constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
@@ -59,6 +55,7 @@
       relay_(
           ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
           [this](const std::string& service) { return machineShare(service); }, settings_.knobs.relay),
+      inner_calls_(ports.clock, relay_.callGraph(), settings_.knobs.below_memory),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
       admission_(ports.clock, ports.random, settings_.knobs.admission),
       entry_services_{
@@ -167,8 +164,8 @@
     }
     const auto number = ++last_call_;
     auto planned = plan(std::move(request), *route);
-    if (inner_routes_.contains(route->name())) {
-        relay_.callGraph().onCall(ports_.clock.now(), route->name(), planned.caller_deadline);
+    if (inner_calls_.isInner(route->name())) {
+        inner_calls_.onCall(route->name(), planned.caller_deadline);
     }
     const bool is_admitted = isAdmitted(planned);
     auto call = std::make_unique<entry::EntryCall>(
@@ -217,7 +214,7 @@
 /// Inner calls are never refused here: what was done for them would be wasted.
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
     const bool is_repeat = deadlines_.isShortened(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
-    return inner_routes_.contains(plan.route.name()) ||
+    return inner_calls_.isInner(plan.route.name()) ||
            admission_.admits(plan.route.name(), plan.route.priority(), is_repeat);
 }
 
@@ -233,43 +230,27 @@
     return static_cast<double>(same) / static_cast<double>(all);
 }
 
-/// The own instance, or what the inner calls of this route have met, whichever is to be asked less.
-void SidecarNode::addBottleneck(const std::string& route, relay::RelayResult* result) {
-    result->bottleneck = settings_.service;
-    result->level = relay_.level().level();
-    const auto now = ports_.clock.now();
-    for (const auto& [callee, below] : below_) {
-        const bool is_recent = now - below.reported < settings_.knobs.below_memory;
-        if (is_recent && below.bottleneck.level < result->level && relay_.callGraph().depends(route, callee)) {
-            result->bottleneck = below.bottleneck.service;
-            result->level = below.bottleneck.level;
-        }
-    }
+void SidecarNode::addBottleneck(const std::string& route, relay::RelayResult* result) const {
+    const auto least = inner_calls_.leastOf(route, {settings_.service, relay_.level().level()});
+    result->bottleneck = least.service;
+    result->level = least.level;
 }
 
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    const auto below = below_.find(plan.route.name());
-    const bool is_below = below != below_.end() &&
-                          ports_.clock.now() - below->second.reported < settings_.knobs.below_memory &&
-                          below->second.bottleneck.level < kUnloadedLevel;
-    return is_below || admission_.levelOf(plan.route.name()) < kUnloadedLevel;
+    const auto& route = plan.route.name();
+    return inner_calls_.isOverloaded(route) || admission_.levelOf(route) < entry::kUnloadedLevel;
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
+    const auto& route = plan.route.name();
     if (result.bottleneck.empty()) {
-        addBottleneck(plan.route.name(), &result);  // The own relay's.
+        addBottleneck(route, &result);  // The own relay's.
     }
-    if (result.is_inner) {
-        inner_routes_.insert(plan.route.name());
-        auto& below = below_[plan.route.name()];
-        const bool is_same = below.bottleneck.service == result.bottleneck;
-        const double former = is_same ? below.bottleneck.level : result.level;
-        below.bottleneck = {result.bottleneck, former + (result.level - former) * kBelowWeight};
-        below.reported = ports_.clock.now();
-        return;
+    const entry::Bottleneck bottleneck{result.bottleneck, result.level};
+    inner_calls_.onReport(route, result.is_inner, bottleneck);
+    if (!result.is_inner) {
+        admission_.onReport(route, bottleneck);
     }
-    inner_routes_.erase(plan.route.name());
-    admission_.onReport(plan.route.name(), {result.bottleneck, result.level});
 }
 
 void SidecarNode::onNodeSilent(const std::string& name) {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +25,7 @@
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
 #include "src/relay/usual_deadlines.h"
+#include "src/sidecar/inner_calls.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
 
@@ -97,7 +97,7 @@
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
-    void addBottleneck(const std::string& route, relay::RelayResult* result);
+    void addBottleneck(const std::string& route, relay::RelayResult* result) const;
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
     [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
@@ -119,18 +119,12 @@
     fleet::FailureDetector failure_detector_;
     instance::LocalInstance instance_;
     relay::RelayService relay_;
+    InnerCalls inner_calls_;
     entry::RelaySelector selector_;
     entry::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     relay::UsualDeadlines deadlines_;
-    std::set<std::string> inner_routes_;  ///< As relays have told.
-    /// The bottleneck below this node's instance, as its inner calls have shown.
-    struct Below {
-        entry::Bottleneck bottleneck;
-        TimePoint reported{};
-    };
-    std::map<std::string, Below> below_;                      ///< By route that the instance calls.
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
     std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
