Ask few nodes for the table, and exchange all with few at a start

By reading: a node that starts exchanged all with every node of the list, and each answer held the whole table as long as it had none; and of a new version every node told the same first 32 names. Ruled out: digests in steady state (they are left out since the hash); calls (the load per machine is the same). Change: an exchange asks for the table, three at a time at most; a starting node pushes its own record to all but exchanges with 16 at random; notices of a version go to 32 at random. Measured: unit_fleet_gossip a_starting_node_gets_the_table_a_few_times_and_is_known_to_all: 3 tables at most of 200 nodes (the former code sent one for each exchange: not run against it).

--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/gossip.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -70,16 +71,35 @@
 void Gossip::noticeTable() {
     std::vector<std::string> behind;
     for (const auto& [name, node] : directory_.others()) {
-        if (node.table_version < table_.version() && !NodeDirectory::isSuspected(node) &&
-            behind.size() < knobs_.notice_fanout) {
+        if (node.table_version < table_.version() && !NodeDirectory::isSuspected(node)) {
             behind.push_back(name);
         }
     }
-    for (const auto& name : behind) {
+    for (const auto& name : randomly(std::move(behind), knobs_.notice_fanout)) {
         send(name, message(), nullptr);
     }
 }
 
+/// The first of a random order.
+std::vector<std::string> Gossip::randomly(std::vector<std::string> names, std::size_t most) {
+    for (std::size_t i = 0; i < std::min(most, names.size()); ++i) {
+        std::swap(names[i], names[i + random_.below(names.size() - i)]);
+    }
+    names.resize(std::min(most, names.size()));
+    return names;
+}
+
+void Gossip::introduceSelf() {
+    pushSelf();
+    std::vector<std::string> names;
+    for (const auto& [name, node] : directory_.others()) {
+        names.push_back(name);
+    }
+    for (const auto& name : randomly(std::move(names), knobs_.first_exchanges)) {
+        exchangeWith(name);
+    }
+}
+
 /// While the directories agree an exchange is one small message each way, however large the fleet.
 void Gossip::exchangeWith(const std::string& name) {
     if (directory_.find(name) == nullptr || !exchanging_.insert(name).second) {
@@ -87,22 +107,32 @@
     }
     auto exchange = message();
     exchange.set_directory_hash(directory_.hash());
+    if (asked_for_table_.size() < knobs_.most_table_requests) {
+        exchange.set_is_table_wanted(true);
+        asked_for_table_.insert(name);
+    }
     send(name, exchange, [this, name](const wire::Gossip* answer) {
         if (answer != nullptr && answer->is_digest_wanted()) {
+            asked_for_table_.erase(name);
             sendDigest(name);
         } else {
-            exchanging_.erase(name);
+            exchangeEnded(name);
         }
     });
 }
 
+void Gossip::exchangeEnded(const std::string& name) {
+    exchanging_.erase(name);
+    asked_for_table_.erase(name);
+}
+
 void Gossip::sendDigest(const std::string& name) {
     auto exchange = message();
     for (auto& version : directory_.digest()) {
         *exchange.add_digest() = std::move(version);
     }
     send(name, exchange, [this, name](const wire::Gossip* answer) {
-        exchanging_.erase(name);
+        exchangeEnded(name);
         if (answer != nullptr && answer->wanted_size() > 0) {
             sendWanted(name, *answer);
         }
@@ -204,8 +234,7 @@
             reply.add_wanted(name);
         }
     }
-    const bool is_exchange = received.digest_size() > 0 || received.directory_hash() != 0;
-    if (is_exchange && received.table_version() < table_.version()) {
+    if (received.is_table_wanted() && received.table_version() < table_.version()) {
         *reply.mutable_table() = table_.whole();
     }
     reply.set_is_digest_wanted(received.directory_hash() != 0 && received.directory_hash() != directory_.hash());
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "src/base/http_message.h"
 #include "src/fleet/node_directory.h"
@@ -28,6 +29,10 @@
     Duration timeout = 600ms;
     /// Nodes that hear of a new table version directly; the others hear from them.
     std::size_t notice_fanout = 32;
+    /// Nodes, at random, with which a starting node exchanges all; the others just hear of it.
+    std::size_t first_exchanges = 16;
+    /// Nodes that are asked for the table at the same time: it is large, and one may be dead.
+    std::size_t most_table_requests = 3;
     /// A notice waits for a random time up to this, so that nodes that have it anyway say so first.
     Duration longest_notice_delay = 60ms;
 };
@@ -41,6 +46,8 @@
     void start();
     /// Answers another node's message.
     HttpAnswer handle(const HttpRequest& request);
+    /// Makes this node known to all that it knows, and learns from some of them.
+    void introduceSelf();
     /// Exchanges all with one node now, unless an exchange with it is under way.
     void exchangeWith(const std::string& name);
     /// A node has told its table's version, here or beside a call.
@@ -64,6 +71,8 @@
     void sendWanted(const std::string& name, const wire::Gossip& answer);
     void adopt(const wire::RouteTable& table, const std::string& from);
     std::string randomNode();
+    [[nodiscard]] std::vector<std::string> randomly(std::vector<std::string> names, std::size_t most);
+    void exchangeEnded(const std::string& name);
 
     Clock& clock_;
     RandomSource& random_;
@@ -73,6 +82,7 @@
     policy::RouteTable& table_;
     GossipKnobs knobs_;
     std::set<std::string> exchanging_;
+    std::set<std::string> asked_for_table_;  ///< Part of the former; most_table_requests at most.
     std::map<std::uint64_t, AttemptHandle> in_flight_;
     std::uint64_t last_number_ = 0;
     TimerHandle tick_timer_;
--- a/src/sidecar/store_session.cc
+++ b/src/sidecar/store_session.cc
@@ -61,9 +61,7 @@
     for (const auto& node : nodes) {
         directory_.addAddress(node.name, node.zone, node.address);
     }
-    for (const auto& node : nodes) {
-        gossip_.exchangeWith(node.name);
-    }
+    gossip_.introduceSelf();
 }
 
 void StoreSession::readTable() {
--- a/tests/unit/fleet/gossip_test.cc
+++ b/tests/unit/fleet/gossip_test.cc
@@ -24,12 +24,16 @@
             result.outcome = AttemptOutcome::kAnswered;
             result.answer = nodes.at(address)->handle(request);
             bytes += result.answer.body.size();
+            wire::Gossip answer;
+            answer.ParseFromString(result.answer.body);
+            tables += answer.has_table() ? 1 : 0;
             callback(result);
         });
         return attempt;
     }
     std::map<std::string, fleet::Gossip*> nodes;
     std::size_t bytes = 0;
+    int tables = 0;  ///< Answers that held the table.
 
 private:
     struct Running : Attempt {
@@ -109,4 +113,43 @@
     BOOST_TEST(left.table.version() == 7U);
 }
 
+/// Many nodes that have the table, and one that starts with the store's list of them.
+struct FleetFixture {
+    FleetFixture() {
+        wire::RouteTable table;
+        table.set_version(7);
+        for (int i = 0; i < kNodes; ++i) {
+            const auto name = "node-" + std::to_string(i);
+            nodes.push_back(std::make_unique<Node>(name, time.clock, wires));
+            nodes.back()->table.adopt(table);
+            starting.directory.addAddress(name, "", name + ":1");
+        }
+    }
+    static constexpr int kNodes = 200;
+    tests::VirtualTime time;
+    Wires wires{time.clock};
+    std::vector<std::unique_ptr<Node>> nodes;
+    Node starting{"starting", time.clock, wires};
+};
+
+BOOST_FIXTURE_TEST_CASE(a_starting_node_gets_the_table_a_few_times_and_is_known_to_all, FleetFixture) {
+    starting.gossip.introduceSelf();
+    time.advance(100ms);
+    BOOST_TEST(starting.table.version() == 7U);
+    for (const auto& node : nodes) {
+        BOOST_TEST(node->directory.find("starting")->record.incarnation() == 1U);
+    }
+    BOOST_TEST(wires.tables >= 1);
+    BOOST_TEST(wires.tables <= 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_node_that_does_not_answer_does_not_keep_the_table_from_others, FleetFixture) {
+    for (int i = 0; i < 2; ++i) {
+        starting.gossip.exchangeWith("node-" + std::to_string(i));  // Asked, and not answered yet.
+    }
+    starting.gossip.onTableVersionSeen("node-5", 7);
+    time.advance(10ms);
+    BOOST_TEST(starting.table.version() == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
