--- a/apps/ctl/explain.cc
+++ b/apps/ctl/explain.cc
@@ -14,8 +14,9 @@
 
 constexpr double kAroundSeconds = 2;
 const std::set<std::string> kBeliefEvents = {
-    "table_adopted", "instance_changed", "node_started", "node_stopping", "node_stopped",    "store_failed",
-    "settings_read", "relay_failed",     "load",         "nodes_listed",  "events_left_out", "settings_refused"};
+    "table_adopted", "instance_changed", "node_started",    "node_stopping", "node_stopped",
+    "store_failed",  "settings_read",    "relay_failed",    "node_silent",   "load",
+    "nodes_listed",  "events_left_out",  "settings_refused"};
 
 /// The value of a key in a line of key=value pairs; empty if it is not there.
 std::string valueOf(const std::string& line, const std::string& key) {
--- a/tests/unit/ctl/explain_test.cc
+++ b/tests/unit/ctl/explain_test.cc
@@ -12,6 +12,7 @@
     std::istringstream entry(
         "time=2026-01-01T10:00:00.000 event=table_adopted version=3\n"
         "time=2026-01-01T10:00:09.000 event=relay_failed request=r1 peer=n2\n"
+        "time=2026-01-01T10:00:09.500 event=node_silent peer=n2\n"
         "time=2026-01-01T10:00:10.300 event=request_given_up request=r7 reason=timeout\n"
         "time=2026-01-01T10:00:10.301 event=request_answered request=r8 reason=none\n"
         "no event here\n");
@@ -21,13 +22,14 @@
     explanation.read("entry.log", entry);
     explanation.read("relay.log", relay);
     const auto lines = explanation.lines();
-    BOOST_REQUIRE(lines.size() == 4U);
+    BOOST_REQUIRE(lines.size() == 5U);
     BOOST_TEST(lines[0].text.starts_with("event=relay_failed"));
     BOOST_TEST(!lines[0].is_own);
-    BOOST_TEST(lines[1].source == "relay.log");
-    BOOST_TEST(lines[1].is_own);
-    BOOST_TEST(lines[2].text.find("reason=timeout") != std::string::npos);
-    BOOST_TEST(lines[3].text.starts_with("event=instance_changed"));
+    BOOST_TEST(lines[1].text.starts_with("event=node_silent"));
+    BOOST_TEST(lines[2].source == "relay.log");
+    BOOST_TEST(lines[2].is_own);
+    BOOST_TEST(lines[3].text.find("reason=timeout") != std::string::npos);
+    BOOST_TEST(lines[4].text.starts_with("event=instance_changed"));
 }
 
 BOOST_AUTO_TEST_CASE(an_id_that_only_begins_alike_is_another_request) {
