Find nodes by the service of their instance instead of walking the fleet at each call

Cause: each call compared the services of all 295 known nodes: three times at its entry (which service, which relay, whether another is left) and, at its relay, twice for each of the services that its callers run beside. The hash of the directory was worked out from all records after each change. Change: the directory keeps an index by service, worked out on demand after a change, and its hash as a sum that changes with each record.

--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -16,8 +16,8 @@
 
 std::size_t RelaySelector::relayCount(const std::string& service) const {
     std::size_t count = serves(directory_.self(), service) ? 1 : 0;
-    for (const auto& [name, node] : directory_.others()) {
-        count += serves(node.record, service) ? 1 : 0;
+    for (const auto* node : directory_.othersWith(service)) {
+        count += serves(node->record, service) ? 1 : 0;
     }
     return count;
 }
@@ -59,8 +59,8 @@
         }
     };
     consider(directory_.self(), std::chrono::milliseconds(directory_.self().instance().cold_left_ms()), false);
-    for (const auto& [name, node] : directory_.others()) {
-        consider(node.record, directory_.coldLeft(node), fleet::NodeDirectory::isSuspected(node));
+    for (const auto* node : directory_.othersWith(service)) {
+        consider(node->record, directory_.coldLeft(*node), fleet::NodeDirectory::isSuspected(*node));
     }
     return best;
 }
@@ -70,10 +70,10 @@
     if (serves(self, service) && !excluded.contains(self.name())) {
         return true;
     }
-    const auto& others = directory_.others();
-    return std::any_of(others.begin(), others.end(), [&](const auto& entry) {
-        return serves(entry.second.record, service) && !fleet::NodeDirectory::isSuspected(entry.second) &&
-               !excluded.contains(entry.first);
+    const auto& others = directory_.othersWith(service);
+    return std::any_of(others.begin(), others.end(), [&](const auto* node) {
+        return serves(node->record, service) && !fleet::NodeDirectory::isSuspected(*node) &&
+               !excluded.contains(node->record.name());
     });
 }
 
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace dewcrank::fleet {
@@ -23,18 +24,34 @@
     return version;
 }
 
+std::uint64_t hashOf(const wire::NodeRecord& record) {
+    const std::array<std::uint64_t, 2> version{record.incarnation(), record.sequence()};
+    return XXH3_64bits_withSeed(version.data(), sizeof version, XXH3_64bits(record.name().data(), record.name().size()));
+}
+
 }  // namespace
 
-NodeDirectory::NodeDirectory(Clock& clock, wire::NodeRecord self) : clock_(clock), self_(std::move(self)) {}
+NodeDirectory::NodeDirectory(Clock& clock, wire::NodeRecord self)
+    : clock_(clock), self_(std::move(self)), hash_(hashOf(self_)) {}
+
+/// Replaces a record, and keeps what is worked out from the records. The hash is a sum, which does
+/// not depend on the order in which records are kept.
+void NodeDirectory::change(wire::NodeRecord* record, const wire::NodeRecord& next) {
+    hash_ -= record->name().empty() ? 0 : hashOf(*record);
+    *record = next;
+    hash_ += hashOf(*record);
+    is_indexed_ = false;
+}
 
 void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, bool is_stopping) {
     if (instance.SerializeAsString() == self_.instance().SerializeAsString() && is_stopping == self_.is_stopping()) {
         return;
     }
-    *self_.mutable_instance() = instance;
-    self_.set_is_stopping(is_stopping);
-    self_.set_sequence(self_.sequence() + 1);
-    hash_ = 0;
+    auto next = self_;
+    *next.mutable_instance() = instance;
+    next.set_is_stopping(is_stopping);
+    next.set_sequence(self_.sequence() + 1);
+    change(&self_, next);
     signal_self_changed_.emit();
 }
 
@@ -51,8 +68,7 @@
         known.failures = 0;
         known.table_version = 0;
     }
-    known.record = record;
-    hash_ = 0;
+    change(&known.record, record);
     known.received = clock_.now();
     signal_changed_.emit(record.name());
     return true;
@@ -62,8 +78,9 @@
 /// ahead. This life goes on after it.
 void NodeDirectory::refute(const wire::NodeRecord& record) {
     if (isNewer(record, self_)) {
-        self_.set_incarnation(record.incarnation() + 1);
-        hash_ = 0;
+        auto next = self_;
+        next.set_incarnation(record.incarnation() + 1);
+        change(&self_, next);
         signal_self_changed_.emit();
     }
 }
@@ -72,14 +89,43 @@
     if (name == self_.name() || others_.contains(name)) {
         return;
     }
-    hash_ = 0;
+    wire::NodeRecord record;
+    record.set_name(name);
+    record.set_zone(zone);
+    record.set_address(address);
     auto& known = others_[name];
-    known.record.set_name(name);
-    known.record.set_zone(zone);
-    known.record.set_address(address);
+    change(&known.record, record);
     known.received = clock_.now();
 }
 
+const NodeDirectory::Index& NodeDirectory::index() const {
+    if (is_indexed_) {
+        return by_service_;
+    }
+    by_service_.clear();
+    with_instance_ = 0;
+    for (const auto& [name, known] : others_) {
+        const auto& service = known.record.instance().service();
+        if (!service.empty()) {
+            by_service_[service].push_back(&known);
+            ++with_instance_;
+        }
+    }
+    is_indexed_ = true;
+    return by_service_;
+}
+
+const std::vector<const KnownNode*>& NodeDirectory::othersWith(const std::string& service) const {
+    static const std::vector<const KnownNode*> none;
+    const auto found = index().find(service);
+    return found == index().end() ? none : found->second;
+}
+
+std::size_t NodeDirectory::othersWithInstance() const {
+    index();
+    return with_instance_;
+}
+
 const KnownNode* NodeDirectory::find(const std::string& name) const {
     const auto found = others_.find(name);
     return found == others_.end() ? nullptr : &found->second;
@@ -127,18 +173,8 @@
     return versions;
 }
 
-/// The sum does not depend on the order in which records are kept.
 std::uint64_t NodeDirectory::hash() const {
-    if (hash_ != 0) {
-        return hash_;
-    }
-    for (const auto& version : digest()) {
-        const auto numbers = std::to_string(version.incarnation()) + " " + std::to_string(version.sequence());
-        const auto text = version.name() + " " + numbers;
-        hash_ += XXH3_64bits(text.data(), text.size());
-    }
-    hash_ = std::max<std::uint64_t>(hash_, 1);
-    return hash_;
+    return std::max<std::uint64_t>(hash_, 1);
 }
 
 NodeDirectory::Difference NodeDirectory::differenceTo(const std::vector<wire::RecordVersion>& digest) const {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -40,6 +40,11 @@
     void addAddress(const std::string& name, const std::string& zone, const std::string& address);
 
     [[nodiscard]] const std::map<std::string, KnownNode>& others() const { return others_; }
+    /// The other nodes beside whose instance, whatever its state, a service runs. Costs what is
+    /// returned, not the fleet. Valid until the next change of the directory.
+    [[nodiscard]] const std::vector<const KnownNode*>& othersWith(const std::string& service) const;
+    /// How many of the other nodes have an instance.
+    [[nodiscard]] std::size_t othersWithInstance() const;
     [[nodiscard]] const KnownNode* find(const std::string& name) const;
     /// True from a failed contact on until the node has been reached or has started anew.
     [[nodiscard]] static bool isSuspected(const KnownNode& node) { return node.failures > 0; }
@@ -70,12 +75,18 @@
     sigc::signal<void()>& signalSelfChanged() { return signal_self_changed_; }
 
 private:
+    using Index = std::map<std::string, std::vector<const KnownNode*>>;
     void refute(const wire::NodeRecord& record);
+    void change(wire::NodeRecord* record, const wire::NodeRecord& next);
+    [[nodiscard]] const Index& index() const;
 
     Clock& clock_;
     wire::NodeRecord self_;
     std::map<std::string, KnownNode> others_;
-    mutable std::uint64_t hash_ = 0;  ///< Of the present records; 0: to be worked out.
+    std::uint64_t hash_;                      ///< Sum over the present records, this node's included.
+    mutable Index by_service_;                ///< Others with an instance, by its service.
+    mutable std::size_t with_instance_ = 0;   ///< All that stand in by_service_.
+    mutable bool is_indexed_ = false;         ///< False: the two above are to be worked out.
     sigc::signal<void(const std::string&)> signal_changed_;
     sigc::signal<void(const std::string&)> signal_suspected_;
     sigc::signal<void()> signal_self_changed_;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -218,16 +218,10 @@
            admission_.admits(plan.route.name(), plan.route.priority(), is_repeat);
 }
 
+/// This node counts as one with an instance also before the first heartbeat.
 double SidecarNode::machineShare(const std::string& service) const {
-    std::size_t all = 1;
-    std::size_t same = settings_.service == service ? 1 : 0;
-    for (const auto& [name, node] : directory_.others()) {
-        if (!node.record.instance().service().empty()) {
-            ++all;
-            same += node.record.instance().service() == service ? 1 : 0;
-        }
-    }
-    return static_cast<double>(same) / static_cast<double>(all);
+    const auto same = directory_.othersWith(service).size() + (settings_.service == service ? 1 : 0);
+    return static_cast<double>(same) / static_cast<double>(directory_.othersWithInstance() + 1);
 }
 
 void SidecarNode::addBottleneck(const std::string& route, relay::RelayResult* result) const {
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -110,4 +110,42 @@
     BOOST_TEST((directory.coldLeft(*directory.find("a")) == Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(others_are_found_by_the_service_of_their_instance_through_every_change) {
+    const auto with = [](const std::string& name, std::uint64_t sequence, const std::string& service) {
+        auto record = recordOf(name, 1, sequence);
+        record.mutable_instance()->set_service(service);
+        return record;
+    };
+    const auto names = [&](const std::string& service) {
+        std::vector<std::string> found;
+        for (const auto* node : directory.othersWith(service)) {
+            found.push_back(node->record.name());
+        }
+        return found;
+    };
+    directory.addAddress("a", "north", "a:1");
+    BOOST_TEST(names("desk").empty());
+    BOOST_TEST(directory.othersWithInstance() == 0U);
+    directory.merge(with("a", 1, "desk"));
+    directory.merge(with("b", 1, "desk"));
+    directory.merge(with("c", 1, "leaf"));
+    BOOST_TEST(names("desk") == (std::vector<std::string>{"a", "b"}), boost::test_tools::per_element());
+    BOOST_TEST(directory.othersWithInstance() == 3U);
+    directory.merge(with("a", 2, "leaf"));
+    BOOST_TEST(names("desk") == std::vector<std::string>{"b"}, boost::test_tools::per_element());
+    BOOST_TEST(names("leaf") == (std::vector<std::string>{"a", "c"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(the_hash_follows_the_records_and_not_the_order_in_which_they_came) {
+    fleet::NodeDirectory other{time.clock, recordOf("self", 5, 1)};
+    BOOST_TEST(directory.hash() == other.hash());
+    directory.merge(recordOf("a", 1, 1));
+    directory.merge(recordOf("a", 1, 2));
+    directory.merge(recordOf("b", 3, 1));
+    BOOST_TEST(directory.hash() != other.hash());
+    other.merge(recordOf("b", 3, 1));
+    other.merge(recordOf("a", 1, 2));
+    BOOST_TEST(directory.hash() == other.hash());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
