Write to sockets at once and read without asking how much there is

Ruled out: the changelist of libevent's epoll backend (saves nothing across two turns of the loop). Change: SocketStream, on libevent's events and evbuffers, in place of bufferevents; one timer a connection that is started again only when it has run out. System calls are not most of it: the start and the choice of relays are next.

--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -1,8 +1,6 @@
 #include "src/adapters/client_connection.h"
 
 #include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -15,8 +13,6 @@
 
 namespace {
 
-/// A peer that acknowledges nothing for this long is gone (TCP_USER_TIMEOUT, in milliseconds).
-constexpr int kUnacknowledgedMs = 5000;
 /// Idle connections are given up this much before the peer has said that it closes them.
 constexpr Duration kIdleMargin = 1s;
 constexpr std::string_view kIdleTimeoutKey = "timeout=";
@@ -37,15 +33,15 @@
 }  // namespace
 
 ClientConnection::ClientConnection(HttpClient& client, std::string address)
-    : client_(client), address_(std::move(address)), parser_(HttpMessageParser::Kind::kAnswer, client.limits_) {
+    : client_(client),
+      address_(std::move(address)),
+      stream_(client.loop_, *this),
+      parser_(HttpMessageParser::Kind::kAnswer, client.limits_) {
     ++client_.open_connections_;
 }
 
 ClientConnection::~ClientConnection() {
     --client_.open_connections_;
-    if (stream_ != nullptr) {
-        bufferevent_free(stream_);
-    }
 }
 
 bool ClientConnection::connect() {
@@ -57,17 +53,7 @@
     }
     address.sin_port = htons(target->port);
     ++client_.connections_begun_;
-    stream_ = bufferevent_socket_new(client_.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(stream_, &ClientConnection::onReadable, nullptr, &ClientConnection::onEvent, this);
-    bufferevent_enable(stream_, EV_READ | EV_WRITE);
-    if (bufferevent_socket_connect(stream_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
-        return false;
-    }
-    const int one = 1;
-    const auto descriptor = bufferevent_getfd(stream_);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof kUnacknowledgedMs);
-    return !is_broken_;
+    return stream_.connect(reinterpret_cast<sockaddr*>(&address), sizeof address);
 }
 
 void ClientConnection::write(const HttpRequest& request) {
@@ -82,52 +68,41 @@
     const bool has_body = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     const auto size = has_body ? static_cast<long long>(request.body.size()) : -1;
     const auto head = writeHead(request.method + " " + request.path + " HTTP/1.1", headers, size, false);
-    auto* output = bufferevent_get_output(stream_);
-    evbuffer_add(output, head.data(), head.size());
-    evbuffer_add(output, request.body.data(), request.body.size());
+    stream_.write(head, request.body);
 }
 
 bool ClientConnection::isReusable() const {
-    return keeps_alive_ && !is_broken_ && !has_strays_ && evbuffer_get_length(bufferevent_get_input(stream_)) == 0 &&
-           evbuffer_get_length(bufferevent_get_output(stream_)) == 0;
+    return keeps_alive_ && !is_broken_ && !has_strays_ && stream_.unread() == 0 && stream_.unwritten() == 0;
 }
 
-void ClientConnection::onReadable(bufferevent*, void* self) {
-    static_cast<ClientConnection*>(self)->readAnswer();
+void ClientConnection::onConnected() {
+    is_connected_ = true;
+    if (listener_ != nullptr) {
+        listener_->onConnected();
+    }
 }
 
-void ClientConnection::onEvent(bufferevent*, short what, void* self) {
-    auto* connection = static_cast<ClientConnection*>(self);
-    if ((what & BEV_EVENT_CONNECTED) != 0) {
-        connection->is_connected_ = true;
-        if (connection->listener_ != nullptr) {
-            connection->listener_->onConnected();
-        }
-        return;
-    }
-    const bool is_clean_end = (what & BEV_EVENT_EOF) != 0;
-    if (is_clean_end && connection->listener_ != nullptr && connection->client_.options_.accepts_close_delimited &&
-        connection->parser_.endsWithConnection() &&
-        connection->parser_.finish() == HttpMessageParser::State::kComplete) {
-        connection->is_broken_ = true;
-        connection->complete();
+void ClientConnection::onEnded(StreamEnd end) {
+    const bool is_clean_end = end == StreamEnd::kClosed;
+    if (is_clean_end && listener_ != nullptr && client_.options_.accepts_close_delimited &&
+        parser_.endsWithConnection() && parser_.finish() == HttpMessageParser::State::kComplete) {
+        is_broken_ = true;
+        complete();
         return;
     }
-    connection->broken(is_clean_end ? "connection-closed" : "connection-reset");
+    broken(is_clean_end ? "connection-closed" : "connection-reset");
 }
 
-void ClientConnection::readAnswer() {
-    auto* input = bufferevent_get_input(stream_);
+void ClientConnection::onReadable() {
     if (listener_ == nullptr) {
         broken("unexpected-bytes");
         return;
     }
-    while (evbuffer_get_length(input) > 0) {
-        const auto size = evbuffer_get_contiguous_space(input);
-        const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    while (stream_.unread() > 0) {
+        const auto bytes = stream_.front();
         std::size_t consumed = 0;
-        const auto state = parser_.feed(data, size, &consumed);
-        evbuffer_drain(input, consumed);
+        const auto state = parser_.feed(bytes.data(), bytes.size(), &consumed);
+        stream_.consume(consumed);
         if (state == HttpMessageParser::State::kComplete) {
             complete();
             if (listener_ == nullptr) {
--- a/src/adapters/client_connection.h
+++ b/src/adapters/client_connection.h
@@ -2,17 +2,16 @@
 /// One connection of an HTTP client: carries one request at a time.
 #pragma once
 
-#include <event2/bufferevent.h>
-
 #include <functional>
 #include <string>
 
 #include "src/adapters/http_client.h"
+#include "src/adapters/socket_stream.h"
 
 namespace dewcrank::adapters {
 
 /// A stream to one address, with the answer that is being read from it.
-class ClientConnection {
+class ClientConnection : private SocketStream::Listener {
 public:
     /// What the user of a connection is told.
     class Listener {
@@ -25,7 +24,7 @@
     };
 
     ClientConnection(HttpClient& client, std::string address);
-    ~ClientConnection();
+    ~ClientConnection() override;
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
 
@@ -42,16 +41,16 @@
     [[nodiscard]] bool isFresh(TimePoint now) const { return now - idle_since_ < longest_idle_; }
 
 private:
-    static void onReadable(bufferevent* stream, void* self);
-    static void onEvent(bufferevent* stream, short what, void* self);
-    void readAnswer();
+    void onConnected() override;
+    void onReadable() override;
+    void onEnded(StreamEnd end) override;
     void complete();
     [[nodiscard]] bool isStray(const HttpAnswer& answer) const;
     void broken(const std::string& reason);
 
     HttpClient& client_;
     std::string address_;
-    bufferevent* stream_ = nullptr;
+    SocketStream stream_;
     HttpMessageParser parser_;
     Listener* listener_ = nullptr;
     bool is_connected_ = false;
--- a/src/adapters/event_loop.cc
+++ b/src/adapters/event_loop.cc
@@ -1,13 +1,12 @@
 #include "src/adapters/event_loop.h"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <utility>
 
 namespace dewcrank::adapters {
 
-namespace {
-
 timeval toTimeval(Duration duration) {
     const auto count = std::max<std::int64_t>(0, duration.count());
     timeval value{};
@@ -16,6 +15,8 @@
     return value;
 }
 
+namespace {
+
 class LibeventTimer : public Timer {
 public:
     LibeventTimer(event_base* base, Duration delay, std::function<void()> callback)
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -6,11 +6,15 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "src/ports/clock.h"
 
 namespace dewcrank::adapters {
 
+/// A duration as libevent takes it; a negative one counts as none.
+timeval toTimeval(Duration duration);
+
 /// A libevent loop, and the clock and timers that run on it.
 class EventLoop : public Clock {
 public:
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -1,10 +1,5 @@
 #include "src/adapters/server_connection.h"
 
-#include <event2/buffer.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -19,9 +14,7 @@
 /// Bytes that are read ahead of the requests being served.
 constexpr std::size_t kReadAhead = std::size_t{256} * 1024;
 /// A caller that reads nothing for this long is given up.
-constexpr timeval kWriteTimeout{20, 0};
-/// A peer that acknowledges nothing for this long is gone (TCP_USER_TIMEOUT, in milliseconds).
-constexpr int kUnacknowledgedMs = 5000;
+constexpr Duration kWriteTimeout = 20s;
 /// How long a caller may take to close after the last answer.
 constexpr Duration kLinger = 3s;
 constexpr int kNoContent = 204;
@@ -31,26 +24,15 @@
 }  // namespace
 
 ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t descriptor)
-    : server_(server),
-      stream_(bufferevent_socket_new(server.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
-      parser_(HttpMessageParser::Kind::kRequest, server.limits_) {
-    const int one = 1;
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof kUnacknowledgedMs);
-    bufferevent_setcb(stream_, &ServerConnection::onReadable, &ServerConnection::onWritten, &ServerConnection::onEvent,
-                      this);
-    bufferevent_setwatermark(stream_, EV_READ, 0, kReadAhead);
-    bufferevent_set_timeouts(stream_, nullptr, &kWriteTimeout);
-    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    : server_(server), stream_(server.loop_, *this), parser_(HttpMessageParser::Kind::kRequest, server.limits_) {
+    stream_.setReadAhead(kReadAhead);
+    stream_.setWriteTimeout(kWriteTimeout);
+    stream_.accept(descriptor);
     armTimeout();
 }
 
-ServerConnection::~ServerConnection() {
-    bufferevent_free(stream_);
-}
-
 bool ServerConnection::isIdle() const {
-    return open_.empty() && evbuffer_get_length(bufferevent_get_output(stream_)) == 0;
+    return open_.empty() && stream_.unwritten() == 0;
 }
 
 void ServerConnection::close() {
@@ -58,8 +40,7 @@
         return;
     }
     is_closed_ = true;
-    bufferevent_setcb(stream_, nullptr, nullptr, nullptr, nullptr);
-    bufferevent_disable(stream_, EV_READ | EV_WRITE);
+    stream_.stop();
     const auto open = std::exchange(open_, {});
     for (const auto& exchange : open) {
         exchange->connection_ = nullptr;
@@ -76,30 +57,16 @@
     }
 }
 
-void ServerConnection::onEvent(bufferevent*, short, void* self) {
-    static_cast<ServerConnection*>(self)->close();
-}
-
-void ServerConnection::onReadable(bufferevent*, void* self) {
-    static_cast<ServerConnection*>(self)->readRequests();
-}
-
-void ServerConnection::onWritten(bufferevent*, void* self) {
-    static_cast<ServerConnection*>(self)->finishWriting();
-}
-
 void ServerConnection::readRequests() {
-    auto* input = bufferevent_get_input(stream_);
-    while (!is_closed_ && !takes_no_more_ && open_.size() < kMostOpen && evbuffer_get_length(input) > 0) {
-        const auto size = evbuffer_get_contiguous_space(input);
-        const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    while (!is_closed_ && !takes_no_more_ && open_.size() < kMostOpen && stream_.unread() > 0) {
+        const auto bytes = stream_.front();
         std::size_t consumed = 0;
-        const auto state = parser_.feed(data, size, &consumed);
-        evbuffer_drain(input, consumed);
+        const auto state = parser_.feed(bytes.data(), bytes.size(), &consumed);
+        stream_.consume(consumed);
         if (state == HttpMessageParser::State::kIncomplete) {
             if (parser_.hasWholeHead() && parser_.expectsContinue() && !continue_sent_ && open_.empty()) {
                 continue_sent_ = true;
-                bufferevent_write(stream_, kContinue, std::char_traits<char>::length(kContinue));
+                stream_.write(kContinue, {});
             }
             continue;
         }
@@ -113,7 +80,7 @@
         return;
     }
     if (takes_no_more_) {
-        evbuffer_drain(input, evbuffer_get_length(input));
+        stream_.consume(stream_.unread());
     }
     armTimeout();
 }
@@ -177,9 +144,10 @@
         writeAnswer(refusal, true);
         closes_when_written_ = true;
     }
-    if (!takes_no_more_ && evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
+    if (!takes_no_more_ && stream_.unread() > 0) {
         reread_ = server_.loop_.startTimer(Duration::zero(), [this] { readRequests(); });
     }
+    finishWriting();
     armTimeout();
 }
 
@@ -190,18 +158,15 @@
     const auto line = "HTTP/1.1 " + std::to_string(answer.status) + " " + reason;
     const auto size = has_body ? static_cast<long long>(answer.body.size()) : -1;
     const auto head = writeHead(line, answer.headers, size, closes);
-    auto* output = bufferevent_get_output(stream_);
-    evbuffer_add(output, head.data(), head.size());
-    if (has_body && exchange.method_ != "HEAD") {
-        evbuffer_add(output, answer.body.data(), answer.body.size());
-    }
+    const bool sends_body = has_body && exchange.method_ != "HEAD";
+    stream_.write(head, sends_body ? std::string_view(answer.body) : std::string_view());
 }
 
 /// All is written. The caller may still be sending: closing with unread bytes would reset the
 /// connection under the answer, so the writing side is shut and the rest is read and dropped.
 void ServerConnection::finishWriting() {
-    if (closes_when_written_ && evbuffer_get_length(bufferevent_get_output(stream_)) == 0) {
-        shutdown(bufferevent_getfd(stream_), SHUT_WR);
+    if (closes_when_written_ && stream_.unwritten() == 0) {
+        stream_.closeWriting();
         armTimeout();
     }
 }
@@ -209,7 +174,7 @@
 void ServerConnection::armTimeout() {
     const bool in_head = parser_.hasStarted() && !parser_.hasWholeHead();
     if (!open_.empty() && !parser_.hasStarted()) {
-        timeout_.reset();
+        closes_at_.reset();
         return;
     }
     if (in_head && head_timer_runs_) {
@@ -217,8 +182,28 @@
     }
     head_timer_runs_ = in_head;
     const auto patience = closes_when_written_ ? std::min(kLinger, server_.timeouts_.idle) : server_.timeouts_.idle;
-    const auto limit = in_head ? server_.timeouts_.header : patience;
-    timeout_ = server_.loop_.startTimer(limit, [this] { close(); });
+    closes_at_ = server_.loop_.now() + (in_head ? server_.timeouts_.header : patience);
+    if (!timeout_ || *closes_at_ < timeout_at_) {
+        startTimeout();
+    }
+}
+
+/// One timer serves many requests: when it runs out too early it is started again for what is left.
+void ServerConnection::startTimeout() {
+    timeout_at_ = *closes_at_;
+    timeout_ = server_.loop_.startTimer(timeout_at_ - server_.loop_.now(), [this] { onTimeout(); });
+}
+
+void ServerConnection::onTimeout() {
+    timeout_.reset();
+    if (!closes_at_) {
+        return;
+    }
+    if (server_.loop_.now() < *closes_at_) {
+        startTimeout();
+    } else {
+        close();
+    }
 }
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -2,21 +2,21 @@
 /// One caller's connection at an HTTP listener.
 #pragma once
 
-#include <event2/bufferevent.h>
-
 #include <deque>
 #include <memory>
+#include <optional>
 
 #include "src/adapters/http_server.h"
+#include "src/adapters/socket_stream.h"
 
 namespace dewcrank::adapters {
 
 /// Reads requests, hands them on and writes their answers in order. Destroys itself when the
 /// connection ends.
-class ServerConnection {
+class ServerConnection : private SocketStream::Listener {
 public:
     ServerConnection(HttpServer& server, evutil_socket_t descriptor);
-    ~ServerConnection();
+    ~ServerConnection() override = default;
     ServerConnection(const ServerConnection&) = delete;
     ServerConnection& operator=(const ServerConnection&) = delete;
 
@@ -28,9 +28,9 @@
     void close();
 
 private:
-    static void onReadable(bufferevent* stream, void* self);
-    static void onWritten(bufferevent* stream, void* self);
-    static void onEvent(bufferevent* stream, short what, void* self);
+    void onReadable() override { readRequests(); }
+    void onWritten() override { finishWriting(); }
+    void onEnded(StreamEnd) override { close(); }
     void readRequests();
     void onRequest();
     void refuse(HttpMessageParser::State state);
@@ -38,11 +38,15 @@
     void writeAnswer(const ServerExchange& exchange, bool closes);
     void finishWriting();
     void armTimeout();
+    void startTimeout();
+    void onTimeout();
 
     HttpServer& server_;
-    bufferevent* stream_;
+    SocketStream stream_;
     HttpMessageParser parser_;
     std::deque<std::shared_ptr<ServerExchange>> open_;
+    std::optional<TimePoint> closes_at_;  ///< Nothing while an answer is due.
+    TimePoint timeout_at_{};              ///< When the timer runs out: never after closes_at_.
     TimerHandle timeout_;
     TimerHandle reread_;
     bool head_timer_runs_ = false;
--- /dev/null
+++ b/src/adapters/socket_stream.cc
@@ -0,0 +1,220 @@
+#include "src/adapters/socket_stream.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace dewcrank::adapters {
+
+namespace {
+
+/// Read at once at most; a loop has one thread, so all streams share the room.
+constexpr std::size_t kReadChunk = std::size_t{16} * 1024;
+/// A peer that acknowledges nothing for this long is gone (TCP_USER_TIMEOUT).
+constexpr std::chrono::milliseconds kLongestUnacknowledged{5000};
+
+bool isTransient(int error) {
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+void setOption(evutil_socket_t descriptor, int option, int value) {
+    setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof value);
+}
+
+}  // namespace
+
+SocketStream::~SocketStream() {
+    if (descriptor_ < 0) {
+        return;
+    }
+    stop();
+    evbuffer_free(input_);
+    evbuffer_free(output_);
+    evutil_closesocket(descriptor_);
+}
+
+// Begin ----------------------------------------------------------------------
+
+void SocketStream::open(evutil_socket_t descriptor) {
+    descriptor_ = descriptor;
+    input_ = evbuffer_new();
+    output_ = evbuffer_new();
+    setOption(descriptor, TCP_NODELAY, 1);
+    setOption(descriptor, TCP_USER_TIMEOUT, static_cast<int>(kLongestUnacknowledged.count()));
+    event_assign(&readable_, loop_.base(), descriptor, EV_READ | EV_PERSIST, &SocketStream::onSocketReadable, this);
+    event_assign(&writable_, loop_.base(), descriptor, EV_WRITE | EV_PERSIST, &SocketStream::onSocketWritable, this);
+}
+
+void SocketStream::accept(evutil_socket_t descriptor) {
+    open(descriptor);
+    event_add(&readable_, nullptr);
+}
+
+bool SocketStream::connect(const sockaddr* address, unsigned length) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return false;
+    }
+    open(descriptor);
+    if (::connect(descriptor, address, length) != 0 && errno != EINPROGRESS) {
+        return false;
+    }
+    is_connecting_ = true;
+    watchWriting();
+    return true;
+}
+
+void SocketStream::finishConnecting() {
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        end(StreamEnd::kBroken);
+        return;
+    }
+    is_connecting_ = false;
+    event_add(&readable_, nullptr);
+    if (unwritten() == 0) {
+        event_del(&writable_);
+    }
+    listener_.onConnected();
+}
+
+// Read -----------------------------------------------------------------------
+
+void SocketStream::read() {
+    static std::array<char, kReadChunk> chunk;
+    const auto count = recv(descriptor_, chunk.data(), chunk.size(), 0);
+    if (count < 0) {
+        if (!isTransient(errno)) {
+            end(StreamEnd::kBroken);
+        }
+        return;
+    }
+    if (count == 0) {
+        end(StreamEnd::kClosed);
+        return;
+    }
+    evbuffer_add(input_, chunk.data(), static_cast<std::size_t>(count));
+    if (read_ahead_ > 0 && unread() >= read_ahead_) {
+        event_del(&readable_);
+    }
+    listener_.onReadable();
+}
+
+std::string_view SocketStream::front() const {
+    const auto size = evbuffer_get_contiguous_space(input_);
+    return {reinterpret_cast<const char*>(evbuffer_pullup(input_, static_cast<ev_ssize_t>(size))), size};
+}
+
+void SocketStream::consume(std::size_t bytes) {
+    const bool was_full = read_ahead_ > 0 && unread() >= read_ahead_;
+    evbuffer_drain(input_, bytes);
+    if (was_full && unread() < read_ahead_ && !has_ended_) {
+        event_add(&readable_, nullptr);
+    }
+}
+
+std::size_t SocketStream::unread() const {
+    return input_ == nullptr ? 0 : evbuffer_get_length(input_);
+}
+
+// Write ----------------------------------------------------------------------
+
+/// An error is not told here: what was not sent stays in `output`, and the loop finds the socket
+/// broken when it comes to write it.
+void SocketStream::write(std::string_view head, std::string_view body) {
+    if (has_ended_ || descriptor_ < 0) {
+        return;
+    }
+    const bool is_first = !is_connecting_ && unwritten() == 0;
+    const auto sent = is_first ? sendNow(head, body) : 0;
+    if (sent == head.size() + body.size()) {
+        return;
+    }
+    const auto from_head = std::min(sent, head.size());
+    head.remove_prefix(from_head);
+    body.remove_prefix(sent - from_head);
+    evbuffer_add(output_, head.data(), head.size());
+    evbuffer_add(output_, body.data(), body.size());
+    watchWriting();
+}
+
+std::size_t SocketStream::sendNow(std::string_view head, std::string_view body) const {
+    std::array<iovec, 2> parts{
+        {{const_cast<char*>(head.data()), head.size()}, {const_cast<char*>(body.data()), body.size()}}};
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = body.empty() ? 1 : parts.size();
+    const auto count = sendmsg(descriptor_, &message, MSG_NOSIGNAL);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+void SocketStream::watchWriting() {
+    if (event_pending(&writable_, EV_WRITE, nullptr) != 0) {
+        return;
+    }
+    const auto value = toTimeval(write_timeout_);
+    event_add(&writable_, write_timeout_ > Duration::zero() ? &value : nullptr);
+}
+
+void SocketStream::flush() {
+    if (evbuffer_write(output_, descriptor_) < 0) {
+        if (!isTransient(errno)) {
+            end(StreamEnd::kBroken);
+        }
+        return;
+    }
+    if (unwritten() == 0) {
+        event_del(&writable_);
+        listener_.onWritten();
+    }
+}
+
+std::size_t SocketStream::unwritten() const {
+    return output_ == nullptr ? 0 : evbuffer_get_length(output_);
+}
+
+void SocketStream::closeWriting() {
+    if (descriptor_ >= 0) {
+        shutdown(descriptor_, SHUT_WR);
+    }
+}
+
+// End ------------------------------------------------------------------------
+
+void SocketStream::stop() {
+    has_ended_ = true;
+    if (descriptor_ >= 0) {
+        event_del(&readable_);
+        event_del(&writable_);
+    }
+}
+
+void SocketStream::end(StreamEnd how) {
+    stop();
+    listener_.onEnded(how);
+}
+
+void SocketStream::onSocketReadable(evutil_socket_t, short, void* self) {
+    static_cast<SocketStream*>(self)->read();
+}
+
+void SocketStream::onSocketWritable(evutil_socket_t, short what, void* self) {
+    auto* stream = static_cast<SocketStream*>(self);
+    if ((what & EV_TIMEOUT) != 0) {
+        stream->end(StreamEnd::kStalled);
+    } else if (stream->is_connecting_) {
+        stream->finishConnecting();
+    } else {
+        stream->flush();
+    }
+}
+
+}  // namespace dewcrank::adapters
