Keep the index of services up to date, and what is seen of relays by number

Cause: a third of the processor time of a start went into working the index out anew after each of some 900 merged records; a choice among 141 relays looked each of them up by name, and worked out an exponential for each. Ruled out: messages as the larger part of the start's cost (a tenth was in the handling of messages below the process). Change: a changed record moves within the index; the directory numbers nodes, and the selector keeps what it has seen in a vector by that number; a mean of nothing but zeros costs nothing; the clock is read once a choice.

--- a/src/base/decaying_mean.h
+++ b/src/base/decaying_mean.h
@@ -23,6 +23,9 @@
 
     /// The mean times what is left of the weight, at most 1: fades to 0 while nothing comes.
     [[nodiscard]] double fadedAt(TimePoint now) const {
+        if (sum_ == 0) {
+            return 0;
+        }
         const double kept = keptAt(now);
         return weight_ * kept >= 1 ? sum_ / weight_ : sum_ * kept;
     }
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -22,47 +22,57 @@
     return count;
 }
 
-double RelaySelector::costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected) {
-    const auto& seen = seenOf(record.name());
-    const auto age = clock_.now() - seen.reported;
+RelaySelector::Seen& RelaySelector::seenOf(std::size_t number) {
+    while (seen_.size() <= number) {
+        seen_.emplace_back(knobs_.failure_memory);
+    }
+    return seen_[number];
+}
+
+double RelaySelector::costOf(TimePoint now, const Candidate& candidate) {
+    const auto& seen = seenOf(candidate.number);
+    const auto age = now - seen.reported;
     const double memory =
         std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(knobs_.load_memory.count()), 0.0, 1.0);
     const double reported = memory * (seen.load.running + seen.load.waiting);
     const double own_since = seen.in_flight - memory * seen.in_flight_at_report;
-    const double slots = std::max<std::uint32_t>(1, record.instance().slots());
+    const double slots = std::max<std::uint32_t>(1, candidate.record.instance().slots());
     double cost = std::max(0.0, reported + own_since) / slots;
-    if (cold_left > Duration::zero()) {
+    if (candidate.cold_left > Duration::zero()) {
         cost = cost * knobs_.cold_factor + knobs_.cold_cost;
     }
-    if (record.zone() != directory_.self().zone()) {
+    if (candidate.record.zone() != directory_.self().zone()) {
         // A full service is one queue, whatever the zone.
         cost += knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
     }
-    cost += knobs_.failure_cost * seen.failures.fadedAt(clock_.now());
-    if (is_suspected) {
+    cost += knobs_.failure_cost * seen.failures.fadedAt(now);
+    if (candidate.is_suspected) {
         cost += knobs_.suspected_cost;
     }
     return cost + knobs_.random_cost * random_.unit();
 }
 
 RelayTarget RelaySelector::choose(const std::string& service, const std::set<std::string>& excluded) {
-    RelayTarget best;
+    const auto now = clock_.now();
+    const wire::NodeRecord* best = nullptr;
     double least = std::numeric_limits<double>::max();
-    const auto consider = [&](const wire::NodeRecord& record, Duration cold_left, bool is_suspected) {
-        if (!serves(record, service) || excluded.contains(record.name())) {
+    const auto consider = [&](const Candidate& candidate) {
+        if (!serves(candidate.record, service) || excluded.contains(candidate.record.name())) {
             return;
         }
-        const double cost = costOf(record, cold_left, is_suspected);
+        const double cost = costOf(now, candidate);
         if (cost < least) {
             least = cost;
-            best = {record.name(), record.address(), record.instance().id()};
+            best = &candidate.record;
         }
     };
-    consider(directory_.self(), std::chrono::milliseconds(directory_.self().instance().cold_left_ms()), false);
+    const auto& self = directory_.self();
+    consider({self, 0, std::chrono::milliseconds(self.instance().cold_left_ms()), false});
     for (const auto* node : directory_.othersWith(service)) {
-        consider(node->record, directory_.coldLeft(*node), fleet::NodeDirectory::isSuspected(*node));
+        consider(
+            {node->record, node->number, directory_.coldLeft(*node, now), fleet::NodeDirectory::isSuspected(*node)});
     }
-    return best;
+    return best == nullptr ? RelayTarget{} : RelayTarget{best->name(), best->address(), best->instance().id()};
 }
 
 bool RelaySelector::hasReachable(const std::string& service, const std::set<std::string>& excluded) const {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -2,9 +2,9 @@
 /// Chooses the relay that a request goes to, by load, zone and what failed lately.
 #pragma once
 
-#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "src/base/decaying_mean.h"
 #include "src/fleet/node_directory.h"
@@ -64,14 +64,22 @@
         DecayingMean failures;  ///< 1 for each call that failed, 0 for each other.
     };
     [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
-    Seen& seenOf(const std::string& node) { return seen_.try_emplace(node, knobs_.failure_memory).first->second; }
-    double costOf(const wire::NodeRecord& record, Duration cold_left, bool is_suspected);
+    /// A relay that may be chosen, as the directory knows it.
+    struct Candidate {
+        const wire::NodeRecord& record;
+        std::size_t number;
+        Duration cold_left;
+        bool is_suspected;
+    };
+    Seen& seenOf(std::size_t number);
+    Seen& seenOf(const std::string& node) { return seenOf(directory_.numberOf(node)); }
+    double costOf(TimePoint now, const Candidate& candidate);
 
     Clock& clock_;
     RandomSource& random_;
     const fleet::NodeDirectory& directory_;
     SelectorKnobs knobs_;
-    std::map<std::string, Seen> seen_;
+    std::vector<Seen> seen_;  ///< By the directory's number of the node.
 };
 
 }  // namespace dewcrank::entry
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -26,7 +26,8 @@
 
 std::uint64_t hashOf(const wire::NodeRecord& record) {
     const std::array<std::uint64_t, 2> version{record.incarnation(), record.sequence()};
-    return XXH3_64bits_withSeed(version.data(), sizeof version, XXH3_64bits(record.name().data(), record.name().size()));
+    return XXH3_64bits_withSeed(version.data(), sizeof version,
+                                XXH3_64bits(record.name().data(), record.name().size()));
 }
 
 }  // namespace
@@ -40,7 +41,30 @@
     hash_ -= record->name().empty() ? 0 : hashOf(*record);
     *record = next;
     hash_ += hashOf(*record);
-    is_indexed_ = false;
+}
+
+/// The same for another node's, whose place in the index follows its service.
+void NodeDirectory::changeOther(KnownNode* known, const wire::NodeRecord& next) {
+    const auto former = known->record.instance().service();
+    change(&known->record, next);
+    const auto& service = known->record.instance().service();
+    if (service == former) {
+        return;
+    }
+    const auto place = [&](std::vector<const KnownNode*>& nodes) {
+        return std::lower_bound(nodes.begin(), nodes.end(), known->record.name(),
+                                [](const KnownNode* it, const std::string& name) { return it->record.name() < name; });
+    };
+    if (!former.empty()) {
+        auto& nodes = by_service_[former];
+        nodes.erase(place(nodes));
+        --with_instance_;
+    }
+    if (!service.empty()) {
+        auto& nodes = by_service_[service];
+        nodes.insert(place(nodes), known);
+        ++with_instance_;
+    }
 }
 
 void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, bool is_stopping) {
@@ -60,7 +84,7 @@
         refute(record);
         return false;
     }
-    auto& known = others_[record.name()];
+    auto& known = knownNode(record.name());
     if (!known.record.name().empty() && !isNewer(record, known.record)) {
         return false;
     }
@@ -68,7 +92,7 @@
         known.failures = 0;
         known.table_version = 0;
     }
-    change(&known.record, record);
+    changeOther(&known, record);
     known.received = clock_.now();
     signal_changed_.emit(record.name());
     return true;
@@ -93,37 +117,28 @@
     record.set_name(name);
     record.set_zone(zone);
     record.set_address(address);
-    auto& known = others_[name];
-    change(&known.record, record);
+    auto& known = knownNode(name);
+    changeOther(&known, record);
     known.received = clock_.now();
 }
 
-const NodeDirectory::Index& NodeDirectory::index() const {
-    if (is_indexed_) {
-        return by_service_;
-    }
-    by_service_.clear();
-    with_instance_ = 0;
-    for (const auto& [name, known] : others_) {
-        const auto& service = known.record.instance().service();
-        if (!service.empty()) {
-            by_service_[service].push_back(&known);
-            ++with_instance_;
-        }
-    }
-    is_indexed_ = true;
-    return by_service_;
-}
-
 const std::vector<const KnownNode*>& NodeDirectory::othersWith(const std::string& service) const {
     static const std::vector<const KnownNode*> none;
-    const auto found = index().find(service);
-    return found == index().end() ? none : found->second;
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
 }
 
-std::size_t NodeDirectory::othersWithInstance() const {
-    index();
-    return with_instance_;
+KnownNode& NodeDirectory::knownNode(const std::string& name) {
+    auto& known = others_[name];
+    if (known.number == 0) {
+        known.number = ++last_number_;
+    }
+    return known;
+}
+
+std::size_t NodeDirectory::numberOf(const std::string& name) const {
+    const auto* known = find(name);
+    return known == nullptr ? 0 : known->number;
 }
 
 const KnownNode* NodeDirectory::find(const std::string& name) const {
@@ -131,9 +146,9 @@
     return found == others_.end() ? nullptr : &found->second;
 }
 
-Duration NodeDirectory::coldLeft(const KnownNode& node) const {
+Duration NodeDirectory::coldLeft(const KnownNode& node, TimePoint now) {
     const auto told = std::chrono::milliseconds(node.record.instance().cold_left_ms());
-    return std::max<Duration>(Duration::zero(), told - (clock_.now() - node.received));
+    return std::max<Duration>(Duration::zero(), told - (now - node.received));
 }
 
 void NodeDirectory::onReached(const std::string& name) {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -17,6 +17,7 @@
 
 /// A node as known here: its record, and what this node has seen of it.
 struct KnownNode {
+    std::size_t number = 0;  ///< From 1 on, in the order in which nodes became known: for tables beside the directory.
     wire::NodeRecord record;
     TimePoint received{};             ///< When the record came; its cold time runs from then.
     std::uint64_t table_version = 0;  ///< The newest version it is known to have.
@@ -44,12 +45,14 @@
     /// returned, not the fleet. Valid until the next change of the directory.
     [[nodiscard]] const std::vector<const KnownNode*>& othersWith(const std::string& service) const;
     /// How many of the other nodes have an instance.
-    [[nodiscard]] std::size_t othersWithInstance() const;
+    [[nodiscard]] std::size_t othersWithInstance() const { return with_instance_; }
     [[nodiscard]] const KnownNode* find(const std::string& name) const;
+    /// The number of a node; 0 for this node, and for one that is not known.
+    [[nodiscard]] std::size_t numberOf(const std::string& name) const;
     /// True from a failed contact on until the node has been reached or has started anew.
     [[nodiscard]] static bool isSuspected(const KnownNode& node) { return node.failures > 0; }
     /// How much longer its instance is cold.
-    [[nodiscard]] Duration coldLeft(const KnownNode& node) const;
+    [[nodiscard]] static Duration coldLeft(const KnownNode& node, TimePoint now);
 
     void onReached(const std::string& name);
     void onUnreachable(const std::string& name);
@@ -78,15 +81,16 @@
     using Index = std::map<std::string, std::vector<const KnownNode*>>;
     void refute(const wire::NodeRecord& record);
     void change(wire::NodeRecord* record, const wire::NodeRecord& next);
-    [[nodiscard]] const Index& index() const;
+    KnownNode& knownNode(const std::string& name);
+    void changeOther(KnownNode* known, const wire::NodeRecord& next);
 
     Clock& clock_;
     wire::NodeRecord self_;
     std::map<std::string, KnownNode> others_;
-    std::uint64_t hash_;                      ///< Sum over the present records, this node's included.
-    mutable Index by_service_;                ///< Others with an instance, by its service.
-    mutable std::size_t with_instance_ = 0;   ///< All that stand in by_service_.
-    mutable bool is_indexed_ = false;         ///< False: the two above are to be worked out.
+    std::size_t last_number_ = 0;    ///< Given to a node; never given again.
+    std::uint64_t hash_;             ///< Sum over the present records, this node's included.
+    Index by_service_;               ///< Others with an instance, by its service; each list by name.
+    std::size_t with_instance_ = 0;  ///< All that stand in by_service_.
     sigc::signal<void(const std::string&)> signal_changed_;
     sigc::signal<void(const std::string&)> signal_suspected_;
     sigc::signal<void()> signal_self_changed_;
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -105,9 +105,9 @@
     record.mutable_instance()->set_cold_left_ms(800);
     directory.merge(record);
     time.advance(300ms);
-    BOOST_TEST((directory.coldLeft(*directory.find("a")) == 500ms));
+    BOOST_TEST((directory.coldLeft(*directory.find("a"), time.clock.now()) == 500ms));
     time.advance(1s);
-    BOOST_TEST((directory.coldLeft(*directory.find("a")) == Duration::zero()));
+    BOOST_TEST((directory.coldLeft(*directory.find("a"), time.clock.now()) == Duration::zero()));
 }
 
 BOOST_AUTO_TEST_CASE(others_are_found_by_the_service_of_their_instance_through_every_change) {
