Copy a relayed request less often, and say all between nodes in one header

A request's headers were copied four times on the way through entry and relay, an answer's once; nodes added nine headers to a request and nine to an answer; the table's row was copied for each call; log lines that the bound leaves out were put together first. Ruled out: nothing else was looked at. Change: requests and answers are moved; FieldList puts what nodes say beside a call into one header; calls share the table's row; a log is asked whether it takes an event; sets of characters are tables.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -150,12 +150,12 @@
 
 void SidecarDaemon::onCall(HttpRequest request, const Exchange& exchange) {
     watch(exchange,
-          node_.handleCall(std::move(request), [exchange](const HttpAnswer& answer) { exchange->reply(answer); }));
+          node_.handleCall(std::move(request), [exchange](HttpAnswer answer) { exchange->reply(std::move(answer)); }));
 }
 
 void SidecarDaemon::onNodeRequest(HttpRequest request, const Exchange& exchange) {
     watch(exchange, node_.handleNodeRequest(std::move(request),
-                                            [exchange](const HttpAnswer& answer) { exchange->reply(answer); }));
+                                            [exchange](HttpAnswer answer) { exchange->reply(std::move(answer)); }));
 }
 
 void SidecarDaemon::watch(const Exchange& exchange, sidecar::SidecarNode::CallNumber number) {
--- a/src/adapters/bounded_log.h
+++ b/src/adapters/bounded_log.h
@@ -22,19 +22,25 @@
 /// a line of its own in the next second.
 class BoundedLog : public EventLog {
 public:
-    BoundedLog(Clock& clock, EventLog& log, std::set<std::string> routine_events, LogBounds bounds);
+    BoundedLog(Clock& clock, EventLog& log, std::set<std::string, std::less<>> routine_events, LogBounds bounds);
     void write(const Event& event) override;
+    [[nodiscard]] bool takes(std::string_view name) override;
 
 private:
+    /// What has been let through of one kind of events in the present second.
+    struct Use {
+        std::uint32_t lines = 0;
+        std::uint32_t bound = 0;
+    };
+    Use& useOf(std::string_view name);
     void beginSecond();
 
     Clock& clock_;
     EventLog& log_;
-    std::set<std::string> routine_events_;
-    LogBounds bounds_;
+    std::set<std::string, std::less<>> routine_events_;
     TimePoint second_{};
-    std::uint32_t routine_ = 0;
-    std::uint32_t other_ = 0;
+    Use routine_;
+    Use other_;
     std::uint32_t left_out_ = 0;
 };
 
--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -61,13 +61,10 @@
     parser_.reset(expects_no_body_);
     keeps_alive_ = false;
     expected_echo_ = request.headers.get(client_.options_.echoed_header);
-    auto headers = request.headers;
-    if (!headers.has("host")) {
-        headers.set("Host", address_);
-    }
     const bool has_body = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     const auto size = has_body ? static_cast<long long>(request.body.size()) : -1;
-    const auto head = writeHead(request.method + " " + request.path + " HTTP/1.1", headers, size, false);
+    const auto head =
+        writeHead(request.method + " " + request.path + " HTTP/1.1", request.headers, {size, false, address_});
     stream_.write(head, request.body);
 }
 
--- a/src/adapters/http_parser.cc
+++ b/src/adapters/http_parser.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <limits>
 #include <utility>
 
@@ -20,24 +19,45 @@
 constexpr auto kNoLength = std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned char kFirstVisible = 0x21;
 constexpr unsigned char kDelete = 0x7f;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::size_t kUsualHead = 1024;
+
+/// Answers for each value of a character.
+using CharacterSet = std::array<bool, std::numeric_limits<unsigned char>::max() + 1>;
 
 /// RFC 9110, section 5.6.2.
+constexpr CharacterSet tokenCharacters() {
+    CharacterSet set{};
+    for (const char character :
+         std::string_view("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~")) {
+        set.at(static_cast<unsigned char>(character)) = true;
+    }
+    return set;
+}
+
+constexpr CharacterSet valueCharacters() {
+    CharacterSet set{};
+    for (std::size_t value = kFirstVisible; value < set.size(); ++value) {
+        set.at(value) = value != kDelete;
+    }
+    set.at(' ') = true;
+    set.at('\t') = true;
+    return set;
+}
+
+constexpr CharacterSet kTokenCharacters = tokenCharacters();
+constexpr CharacterSet kValueCharacters = valueCharacters();
+
 bool isTokenCharacter(char character) {
-    return std::isalnum(static_cast<unsigned char>(character)) != 0 ||
-           std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+    return kTokenCharacters[static_cast<unsigned char>(character)];
 }
 
 bool isToken(std::string_view text) {
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
-bool isVisible(char character) {
-    const auto value = static_cast<unsigned char>(character);
-    return value >= kFirstVisible && value != kDelete;
-}
-
 bool isValueCharacter(char character) {
-    return isVisible(character) || character == ' ' || character == '\t';
+    return kValueCharacters[static_cast<unsigned char>(character)];
 }
 
 bool isFramingHeader(std::string_view name) {
@@ -253,22 +273,26 @@
     return answer;
 }
 
-std::string writeHead(const std::string& first_line, const Headers& headers, long long body_size, bool closes) {
-    std::string head = first_line;
-    head += "\r\n";
+std::string writeHead(const std::string& first_line, const Headers& headers, const Framing& framing) {
+    std::string head;
+    head.reserve(kUsualHead);
+    head.append(first_line).append(kLineEnd);
     for (const auto& [name, value] : headers.lines()) {
         const bool is_safe = isToken(name) && std::all_of(value.begin(), value.end(), isValueCharacter);
         if (is_safe && !isFramingHeader(name)) {
-            head.append(name).append(": ").append(value).append("\r\n");
+            head.append(name).append(": ").append(value).append(kLineEnd);
         }
     }
-    if (closes) {
-        head += "Connection: close\r\n";
+    if (!framing.host.empty() && !headers.has("host")) {
+        head.append("Host: ").append(framing.host).append(kLineEnd);
+    }
+    if (framing.closes) {
+        head.append("Connection: close").append(kLineEnd);
     }
-    if (body_size >= 0) {
-        head += "Content-Length: " + std::to_string(body_size) + "\r\n";
+    if (framing.body_size >= 0) {
+        head.append("Content-Length: ").append(std::to_string(framing.body_size)).append(kLineEnd);
     }
-    head += "\r\n";
+    head.append(kLineEnd);
     return head;
 }
 
--- a/src/adapters/http_parser.h
+++ b/src/adapters/http_parser.h
@@ -93,8 +93,14 @@
     std::string body_;
 };
 
-/// Writes the head of a message's headers, without those that frame it, and its end.
-/// @param body_size written as the length, unless it is negative.
-std::string writeHead(const std::string& first_line, const Headers& headers, long long body_size, bool closes);
+/// What frames a message that is written.
+struct Framing {
+    long long body_size = -1;  ///< Written as the length, unless it is negative.
+    bool closes = false;       ///< The connection ends with this message.
+    std::string_view host;     ///< Written if the headers have none; empty: never.
+};
+
+/// The head of a message, without those of its headers that frame it, and its end.
+std::string writeHead(const std::string& first_line, const Headers& headers, const Framing& framing);
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -31,12 +31,12 @@
 ServerExchange::ServerExchange(ServerConnection* connection, std::string method, bool keeps_alive)
     : connection_(connection), method_(std::move(method)), keeps_alive_(keeps_alive) {}
 
-void ServerExchange::reply(const HttpAnswer& answer) {
+void ServerExchange::reply(HttpAnswer answer) {
     if (connection_ == nullptr || is_answered_) {
         return;
     }
     is_answered_ = true;
-    answer_ = answer;
+    answer_ = std::move(answer);
     caller_left_ = nullptr;
     connection_->onAnswered();
 }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -30,7 +30,7 @@
     ServerExchange(const ServerExchange&) = delete;
     ServerExchange& operator=(const ServerExchange&) = delete;
 
-    void reply(const HttpAnswer& answer);
+    void reply(HttpAnswer answer);
     /// Calls back once if the caller closes its connection before the answer.
     void onCallerLeft(std::function<void()> callback);
     /// Closes the connection without any answer, as a failing server would.
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -159,7 +159,7 @@
     const auto* reason = http_status_str(static_cast<http_status>(answer.status));
     const auto line = "HTTP/1.1 " + std::to_string(answer.status) + " " + reason;
     const auto size = has_body ? static_cast<long long>(answer.body.size()) : -1;
-    const auto head = writeHead(line, answer.headers, size, closes);
+    const auto head = writeHead(line, answer.headers, {size, closes, {}});
     const bool sends_body = has_body && exchange.method_ != "HEAD";
     stream_.write(head, sends_body ? std::string_view(answer.body) : std::string_view());
 }
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -54,7 +54,7 @@
 }
 
 relay::RelayRequest EntryCall::relayRequest(const RelayTarget& target) const {
-    const auto objective = std::chrono::milliseconds(plan_.route.objective_ms());
+    const auto objective = std::chrono::milliseconds(plan_.route->objective_ms());
     const auto share = std::chrono::duration_cast<Duration>(objective * services_.knobs.longest_wait_share);
     relay::RelayRequest request;
     request.request = plan_.request;
@@ -62,8 +62,8 @@
     request.is_repeat = offered_ > 0;
     request.is_last_choice =
         refusals_ + 1 >= services_.knobs.most_refusals || tried_.size() >= services_.selector.relayCount(plan_.service);
-    request.route = plan_.route.name();
-    request.priority = plan_.route.priority();
+    request.route = plan_.route->name();
+    request.priority = plan_.route->priority();
     request.deadline = plan_.deadline - services_.knobs.relay_margin;
     request.longest_wait = share;
     return request;
@@ -82,15 +82,16 @@
     services_.failure_detector.onCallSent(relay_);
     const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
     attempt_ =
-        services_.nodes.send(target.address, relay::toHttp(request, self, services_.clock.now()), remaining() + 1s,
-                             [this](AttemptResult result) { onRelayAnswer(std::move(result)); });
+        services_.nodes.send(target.address, relay::toHttp(std::move(request), self, services_.clock.now()),
+                             remaining() + 1s, [this](AttemptResult result) { onRelayAnswer(std::move(result)); });
 }
 
 void EntryCall::onRelayAnswer(AttemptResult result) {
     if (result.outcome == AttemptOutcome::kAnswered) {
         services_.directory.onReached(relay_);
-        services_.gossip.onTableVersionSeen(relay_, relay::peerOf(result.answer.headers).table_version);
-        onResult(relay::fromHttp(std::move(result.answer)));
+        auto received = relay::fromHttp(std::move(result.answer));
+        services_.gossip.onTableVersionSeen(relay_, received.sender.table_version);
+        onResult(std::move(received.result));
         return;
     }
     services_.directory.onUnreachable(relay_);
@@ -99,7 +100,7 @@
 
 void EntryCall::onNodeSilent(const std::string& node) {
     const bool runs_there = relay_ == node && attempt_ != nullptr;
-    const bool may_repeat = plan_.route.is_repeatable() && offered_ + 1 < plan_.route.max_attempts();
+    const bool may_repeat = plan_.route->is_repeatable() && offered_ + 1 < plan_.route->max_attempts();
     if (runs_there && may_repeat && services_.selector.hasReachable(plan_.service, tried_)) {
         onRelayLost("silent", true);
     }
@@ -158,7 +159,7 @@
 /// would take the room of a new one.
 bool EntryCall::mayRepeatFailure() const {
     const bool has_time = remaining() > services_.clock.now() - began_;
-    return plan_.route.is_repeatable() && offered_ < plan_.route.max_attempts() && has_time &&
+    return plan_.route->is_repeatable() && offered_ < plan_.route->max_attempts() && has_time &&
            !services_.is_overloaded(plan_) && services_.selector.hasReachable(plan_.service, tried_);
 }
 
@@ -167,7 +168,7 @@
         result.reason == relay::RelayReason::kQueueTooLong || result.reason == relay::RelayReason::kQueueTimeout;
     const bool is_final = result.reason == relay::RelayReason::kRepeatBudget ||
                           result.reason == relay::RelayReason::kDeadline ||
-                          ++refusals_ >= services_.knobs.most_refusals || offered_ >= plan_.route.max_attempts();
+                          ++refusals_ >= services_.knobs.most_refusals || offered_ >= plan_.route->max_attempts();
     if (is_final) {
         giveUp(relay::reasonText(result.reason), false);
         return;
@@ -177,8 +178,8 @@
 
 void EntryCall::onUnknown() {
     may_have_run_ = true;
-    const bool may_repeat = plan_.route.is_repeatable() || services_.weakening.repeats_unrepeatable;
-    if (!may_repeat || offered_ >= plan_.route.max_attempts()) {
+    const bool may_repeat = plan_.route->is_repeatable() || services_.weakening.repeats_unrepeatable;
+    if (!may_repeat || offered_ >= plan_.route->max_attempts()) {
         giveUp("no-whole-answer", false);
         return;
     }
@@ -233,23 +234,33 @@
         answer.status = kHttpServiceUnavailable;
         answer.headers.set("Retry-After", secondsText(retryAfter()));
     }
+    logGivenUp(reason, answer.status);
+    finish(std::move(answer), may_have_run_ ? EntryEnd::kUnknown : EntryEnd::kRefused, reason);
+}
+
+void EntryCall::logGivenUp(const char* reason, int status) const {
+    if (!services_.log.takes("request_given_up")) {
+        return;
+    }
     services_.log.write(Event("request_given_up")
                             .with("request", plan_.request.headers.get(services_.names.request_id))
-                            .with("route", plan_.route.name())
+                            .with("route", plan_.route->name())
                             .with("service", plan_.service)
                             .with("reason", reason)
-                            .with("status", answer.status)
+                            .with("status", status)
                             .with("offered", offered_)
                             .with("refusals", refusals_)
                             .with("remaining_ms", toMilliseconds(remaining()))
                             .with("table", services_.table.version()));
-    finish(std::move(answer), may_have_run_ ? EntryEnd::kUnknown : EntryEnd::kRefused, reason);
 }
 
 void EntryCall::logAnswered(const relay::RelayResult& result, const std::string& relay) const {
+    if (!services_.log.takes("request_answered")) {
+        return;
+    }
     services_.log.write(Event("request_answered")
                             .with("request", plan_.request.headers.get(services_.names.request_id))
-                            .with("route", plan_.route.name())
+                            .with("route", plan_.route->name())
                             .with("service", plan_.service)
                             .with("relay", relay)
                             .with("status", result.answer.status)
@@ -262,7 +273,7 @@
 void EntryCall::finish(HttpAnswer answer, EntryEnd end, const char* reason) {
     deadline_timer_.reset();
     reply_(std::move(answer));
-    end_({end, plan_.route.name(), plan_.service, reason, services_.clock.now() - began_});
+    end_({end, plan_.route->name(), plan_.service, reason, services_.clock.now() - began_});
 }
 
 }  // namespace dewcrank::entry
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -43,8 +43,8 @@
 
 /// A call that has been matched to a route.
 struct EntryPlan {
-    HttpRequest request;  ///< Without what concerns the caller's connection only.
-    wire::Route route;
+    HttpRequest request;     ///< Without what concerns the caller's connection only.
+    policy::RoutePtr route;  ///< Never null; stays as it is when the table changes.
     std::string service;
     TimePoint deadline{};
     Duration caller_deadline{};  ///< The time that the caller gives.
@@ -123,6 +123,7 @@
     [[nodiscard]] Duration retryAfter() const;
     void stopAttempt();
     void finish(HttpAnswer answer, EntryEnd end, const char* reason);
+    void logGivenUp(const char* reason, int status) const;
     void logAnswered(const relay::RelayResult& result, const std::string& relay) const;
     [[nodiscard]] Duration remaining() const { return plan_.deadline - services_.clock.now(); }
 
--- a/src/policy/route_table.cc
+++ b/src/policy/route_table.cc
@@ -22,12 +22,12 @@
 }  // namespace
 
 bool RouteTable::adopt(wire::RouteTable table) {
-    if (table.version() <= table_.version()) {
+    if (table.version() <= table_->version()) {
         return false;
     }
-    table_ = std::move(table);
+    table_ = std::make_shared<const wire::RouteTable>(std::move(table));
     by_host_.clear();
-    for (const auto& route : table_.routes()) {
+    for (const auto& route : table_->routes()) {
         by_host_[lowerCase(route.host())].push_back(&route);
     }
     for (auto& [host, routes] : by_host_) {
@@ -39,7 +39,7 @@
     return true;
 }
 
-const wire::Route* RouteTable::match(std::string_view host, std::string_view path) const {
+RoutePtr RouteTable::match(std::string_view host, std::string_view path) const {
     const auto found = by_host_.find(lowerCase(host.substr(0, host.find(':'))));
     if (found == by_host_.end()) {
         return nullptr;
@@ -47,7 +47,7 @@
     const auto route = std::find_if(found->second.begin(), found->second.end(), [path](const wire::Route* candidate) {
         return path.starts_with(candidate->prefix());
     });
-    return route == found->second.end() ? nullptr : *route;
+    return route == found->second.end() ? nullptr : RoutePtr(table_, *route);
 }
 
 std::size_t TrafficDivider::next(const wire::Route& route) {
--- a/src/policy/route_table.h
+++ b/src/policy/route_table.h
@@ -5,6 +5,7 @@
 #include <sigc++/sigc++.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,9 @@
 
 namespace dewcrank::policy {
 
+/// A route of one version of the table, which it keeps.
+using RoutePtr = std::shared_ptr<const wire::Route>;
+
 /// Aggregate: one version of the table, whole. Versions only grow.
 class RouteTable {
 public:
@@ -21,16 +25,16 @@
     bool adopt(wire::RouteTable table);
     /// The route with the longest prefix of the path at this host; null if there is none.
     /// @param host as in a Host header: compared without case, and without its port.
-    [[nodiscard]] const wire::Route* match(std::string_view host, std::string_view path) const;
-    [[nodiscard]] std::uint64_t version() const { return table_.version(); }
-    [[nodiscard]] bool isKnown() const { return table_.version() > 0; }
-    [[nodiscard]] const wire::RouteTable& whole() const { return table_; }
+    [[nodiscard]] RoutePtr match(std::string_view host, std::string_view path) const;
+    [[nodiscard]] std::uint64_t version() const { return table_->version(); }
+    [[nodiscard]] bool isKnown() const { return table_->version() > 0; }
+    [[nodiscard]] const wire::RouteTable& whole() const { return *table_; }
 
     /// Emitted after each adoption.
     sigc::signal<void()>& signalAdopted() { return signal_adopted_; }
 
 private:
-    wire::RouteTable table_;
+    std::shared_ptr<const wire::RouteTable> table_ = std::make_shared<const wire::RouteTable>();
     /// By host in lower case; prefixes from the longest to the shortest.
     std::map<std::string, std::vector<const wire::Route*>, std::less<>> by_host_;
     sigc::signal<void()> signal_adopted_;
--- a/src/ports/event_log.h
+++ b/src/ports/event_log.h
@@ -43,6 +43,9 @@
 public:
     virtual ~EventLog() = default;
     virtual void write(const Event& event) = 0;
+    /// False if an event of this name would not be kept now, which is counted as if it had been
+    /// written: asked before an event that is frequent is put together.
+    [[nodiscard]] virtual bool takes(std::string_view) { return true; }
 };
 
 }  // namespace dewcrank
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -108,6 +108,7 @@
     const auto number = ++last_number_;
     auto& running = *(running_[number] = std::make_unique<Running>());
     running.request = std::move(request);
+    running.id = running.request.request.headers.get(names_.request_id);
     running.callback = std::move(callback);
     if (const auto refusal = refusalOf(running.request); refusal != RelayReason::kNone) {
         refuseLater(number, refusal);
@@ -184,7 +185,7 @@
 
 void RelayService::send(Number number) {
     auto& running = *running_[number];
-    auto request = running.request.request;
+    auto request = std::move(running.request.request);
     const auto remaining = running.request.deadline - clock_.now();
     request.headers.set(names_.expected_instance, running.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(remaining)));
@@ -213,7 +214,7 @@
         instance_.onUnreachable();
     }
     log_.write(Event("instance_failed")
-                   .with("request", running.request.request.headers.get(names_.request_id))
+                   .with("request", running.id)
                    .with("peer", instance_address_)
                    .with("instance", running.request.instance)
                    .with("reason", result.reason)
@@ -231,14 +232,13 @@
         judged.reason = RelayReason::kInstanceRefused;
         return judged;
     }
-    const auto& request = running.request.request;
-    const bool is_own = answer.headers.get(names_.request_id) == request.headers.get(names_.request_id);
+    const bool is_own = answer.headers.get(names_.request_id) == running.id;
     const bool is_signed = knobs_.weakening.takes_unsigned_answers ||
                            (answer.headers.has(names_.server_stamp) && !answer.headers.has("content-encoding"));
     const bool is_whole = isSuccess(answer.status) ? is_own && is_signed : !promisesNotRun(answer.status);
     if (!is_whole) {
         log_.write(Event("answer_spoiled")
-                       .with("request", request.headers.get(names_.request_id))
+                       .with("request", running.id)
                        .with("peer", instance_address_)
                        .with("status", answer.status));
         judged.outcome = RelayOutcome::kUnknown;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -123,7 +123,8 @@
 
 private:
     struct Running {
-        RelayRequest request;
+        RelayRequest request;  ///< Its HTTP request is moved out when it is sent.
+        std::string id;        ///< Of the request.
         Callback callback;
         std::uint64_t ticket = 0;
         bool is_let_in = false;
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -1,6 +1,6 @@
 /// @file
-/// A relayed request and its result as HTTP between nodes: the caller's own request with
-/// headers added, and the instance's own answer with headers added.
+/// A relayed request and its result as HTTP between nodes: the caller's own request with one header
+/// added, and the instance's own answer with one header added.
 #pragma once
 
 #include <cstdint>
@@ -11,7 +11,7 @@
 
 namespace dewcrank::relay {
 
-/// Prefix of all headers between nodes; callers' headers of that prefix are dropped.
+/// Prefix of the headers between nodes; callers' headers of that prefix are dropped.
 inline constexpr std::string_view kRelayHeaderPrefix = "dewcrank-relay-";
 
 /// Who sends a relayed message, and which table it goes by.
@@ -20,12 +20,23 @@
     std::uint64_t table_version = 0;
 };
 
-HttpRequest toHttp(const RelayRequest& request, const RelayPeer& sender, TimePoint now);
+/// A request as it was received, and who sent it.
+struct ReceivedRequest {
+    RelayPeer sender;
+    RelayRequest request;
+};
+
+/// A result as it was received, and who sent it; the sender is empty if no relay has marked it.
+struct ReceivedResult {
+    RelayPeer sender;
+    RelayResult result;
+};
+
+HttpRequest toHttp(RelayRequest request, const RelayPeer& sender, TimePoint now);
 /// Nothing if the request is not a relayed one.
-std::optional<RelayRequest> fromHttp(HttpRequest request, TimePoint now);
+std::optional<ReceivedRequest> fromHttp(HttpRequest request, TimePoint now);
 HttpAnswer toHttp(RelayResult result, const RelayPeer& sender);
 /// An answer that no relay has marked is kUnknown.
-RelayResult fromHttp(HttpAnswer answer);
-RelayPeer peerOf(const Headers& headers);
+ReceivedResult fromHttp(HttpAnswer answer);
 
 }  // namespace dewcrank::relay
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -141,7 +141,7 @@
 
 // Calls --------------------------------------------------------------------
 
-std::optional<HttpAnswer> SidecarNode::refusalOf(const HttpRequest& request, const wire::Route* route) const {
+std::optional<HttpAnswer> SidecarNode::refusalOf(const HttpRequest& request, const policy::RoutePtr& route) const {
     if (!table_.isKnown()) {
         auto answer = plainAnswer(kHttpServiceUnavailable, "not-ready");
         answer.headers.set("Retry-After", kNotReadyRetryAfter);
@@ -157,13 +157,13 @@
 }
 
 SidecarNode::CallNumber SidecarNode::handleCall(HttpRequest request, ReplyCallback reply) {
-    const auto* route = table_.match(request.headers.get("host"), request.path);
+    const auto route = table_.match(request.headers.get("host"), request.path);
     if (auto refusal = refusalOf(request, route)) {
         reply(std::move(*refusal));
         return 0;
     }
     const auto number = ++last_call_;
-    auto planned = plan(std::move(request), *route);
+    auto planned = plan(std::move(request), route);
     if (inner_calls_.isInner(route->name())) {
         inner_calls_.onCall(route->name(), planned.caller_deadline);
     }
@@ -180,9 +180,9 @@
     return calls_.contains(number) ? number : 0;
 }
 
-entry::EntryPlan SidecarNode::plan(HttpRequest request, const wire::Route& route) {
+entry::EntryPlan SidecarNode::plan(HttpRequest request, const policy::RoutePtr& route) {
     const auto& names = settings_.header_names;
-    const Duration longest = std::chrono::milliseconds(route.timeout_ms());
+    const Duration longest = std::chrono::milliseconds(route->timeout_ms());
     const auto wanted = millisecondsIn(request.headers.get(names.deadline_ms)).value_or(longest);
     removeHopByHopHeaders(request.headers);
     request.headers.removePrefix(relay::kRelayHeaderPrefix);
@@ -192,8 +192,8 @@
     entry::EntryPlan plan;
     plan.route = route;
     plan.caller_deadline = wanted;
-    plan.service = serviceFor(route);
-    plan.deadline = ports_.clock.now() + (route.timeout_ms() == 0 ? wanted : std::min(wanted, longest));
+    plan.service = serviceFor(*route);
+    plan.deadline = ports_.clock.now() + (route->timeout_ms() == 0 ? wanted : std::min(wanted, longest));
     plan.request = std::move(request);
     return plan;
 }
@@ -213,9 +213,9 @@
 
 /// Inner calls are never refused here: what was done for them would be wasted.
 bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
-    const bool is_repeat = deadlines_.isShortened(ports_.clock.now(), plan.route.name(), plan.caller_deadline);
-    return inner_calls_.isInner(plan.route.name()) ||
-           admission_.admits(plan.route.name(), plan.route.priority(), is_repeat);
+    const bool is_repeat = deadlines_.isShortened(ports_.clock.now(), plan.route->name(), plan.caller_deadline);
+    return inner_calls_.isInner(plan.route->name()) ||
+           admission_.admits(plan.route->name(), plan.route->priority(), is_repeat);
 }
 
 /// This node counts as one with an instance also before the first heartbeat.
@@ -231,12 +231,12 @@
 }
 
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    const auto& route = plan.route.name();
+    const auto& route = plan.route->name();
     return inner_calls_.isOverloaded(route) || admission_.levelOf(route) < entry::kUnloadedLevel;
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
-    const auto& route = plan.route.name();
+    const auto& route = plan.route->name();
     if (result.bottleneck.empty()) {
         addBottleneck(route, &result);  // The own relay's.
     }
@@ -277,14 +277,13 @@
         reply(gossip_.handle(request));
         return 0;
     }
-    const auto sender = relay::peerOf(request.headers);
-    auto relayed = relay::fromHttp(std::move(request), ports_.clock.now());
-    if (!relayed) {
+    auto received = relay::fromHttp(std::move(request), ports_.clock.now());
+    if (!received) {
         reply(plainAnswer(kHttpNotFound, "neither gossip nor a relayed call"));
         return 0;
     }
-    gossip_.onTableVersionSeen(sender.name, sender.table_version);
-    return relayCall(std::move(*relayed), reply);
+    gossip_.onTableVersionSeen(received->sender.name, received->sender.table_version);
+    return relayCall(std::move(received->request), reply);
 }
 
 SidecarNode::CallNumber SidecarNode::relayCall(relay::RelayRequest request, const ReplyCallback& reply) {
@@ -303,8 +302,11 @@
 
 void SidecarNode::logRelayed(const std::string& request, const relay::RelayResult& result) {
     const bool is_answered = result.outcome == relay::RelayOutcome::kAnswered;
-    ports_.log.write(Event(is_answered ? "relayed" : "relay_refused")
-                         .with("request", request)
+    if (!ports_.log.takes(is_answered ? "relayed" : "relay_refused")) {
+        return;
+    }
+    auto event = is_answered ? Event("relayed") : Event("relay_refused");
+    ports_.log.write(event.with("request", request)
                          .with("instance", instance_.record().id())
                          .with("reason", relay::reasonText(result.reason))
                          .with("offered", result.was_offered ? "yes" : "no")
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -92,8 +92,8 @@
 
 private:
     [[nodiscard]] static wire::NodeRecord firstRecord(const Settings& settings);
-    [[nodiscard]] std::optional<HttpAnswer> refusalOf(const HttpRequest& request, const wire::Route* route) const;
-    entry::EntryPlan plan(HttpRequest request, const wire::Route& route);
+    [[nodiscard]] std::optional<HttpAnswer> refusalOf(const HttpRequest& request, const policy::RoutePtr& route) const;
+    entry::EntryPlan plan(HttpRequest request, const policy::RoutePtr& route);
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
--- a/tests/unit/adapters/bounded_log_test.cc
+++ b/tests/unit/adapters/bounded_log_test.cc
@@ -26,4 +26,21 @@
     BOOST_TEST(inner.lines[8] == "event=events_left_out count=99");
 }
 
+BOOST_AUTO_TEST_CASE(an_event_that_finds_no_room_is_counted_though_it_was_never_put_together) {
+    tests::VirtualTime time;
+    tests::RecordingLog inner;
+    adapters::BoundedLog log(time.clock, inner, {"routine"}, {2, 5});
+    time.advance(10s);
+    for (int count = 0; count < 10; ++count) {
+        if (log.takes("routine")) {
+            log.write(Event("routine"));
+        }
+    }
+    BOOST_TEST(log.takes("failure"));
+    BOOST_TEST(inner.lines.size() == 2U);
+    time.advance(1s);
+    BOOST_TEST(log.takes("routine"));
+    BOOST_TEST(inner.lines.at(2) == "event=events_left_out count=8");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/adapters/http_parser_fuzz_test.cc
+++ b/tests/unit/adapters/http_parser_fuzz_test.cc
@@ -95,7 +95,7 @@
     BOOST_REQUIRE_MESSAGE(request.body == pieces.takeRequest().body, text);
     const auto head =
         adapters::writeHead(request.method + " " + request.path + " HTTP/1.1", withoutFraming(request.headers),
-                            static_cast<long long>(request.body.size()), false);
+                            {static_cast<long long>(request.body.size()), false, {}});
     HttpMessageParser next(HttpMessageParser::Kind::kRequest, {std::size_t{64} * 1024, 4096});
     next.reset();
     const auto forwarded = head + request.body;
--- a/tests/unit/policy/route_table_test.cc
+++ b/tests/unit/policy/route_table_test.cc
@@ -47,7 +47,7 @@
         {"a.example", "/x/y?q=/x/", "wide"},
     };
     for (const auto& entry : cases) {
-        const auto* route = table.match(entry.host, entry.path);
+        const auto route = table.match(entry.host, entry.path);
         BOOST_TEST((route == nullptr ? "" : route->name()) == entry.expected, entry.host << entry.path);
     }
 }
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -244,10 +244,12 @@
     request.priority = 3;
     request.deadline = TimePoint(5s);
     request.longest_wait = 70ms;
-    auto message = relay::toHttp(request, {"n1", 7}, TimePoint(4s));
-    BOOST_TEST(relay::peerOf(message.headers).table_version == 7U);
-    const auto read = relay::fromHttp(message, TimePoint(9s));
-    BOOST_REQUIRE(read.has_value());
+    const auto message = relay::toHttp(request, {"n1", 7}, TimePoint(4s));
+    const auto received = relay::fromHttp(message, TimePoint(9s));
+    BOOST_REQUIRE(received.has_value());
+    BOOST_TEST(received->sender.name == "n1");
+    BOOST_TEST(received->sender.table_version == 7U);
+    const auto* read = &received->request;
     BOOST_TEST(read->instance == "i1");
     BOOST_TEST(read->is_repeat);
     BOOST_TEST(read->is_last_choice);
@@ -268,7 +270,10 @@
         result.load = {4, 5, 6, 7ms};
         result.bottleneck = "leaf";
         result.level = 0.25;
-        const auto back = relay::fromHttp(relay::toHttp(result, {"n2", 8}));
+        const auto received_result = relay::fromHttp(relay::toHttp(result, {"n2", 8}));
+        const auto& back = received_result.result;
+        BOOST_TEST(received_result.sender.name == "n2");
+        BOOST_TEST(received_result.sender.table_version == 8U);
         BOOST_TEST((back.outcome == outcome));
         BOOST_TEST((back.reason == result.reason));
         BOOST_TEST(back.load.waiting == 5U);
@@ -279,7 +284,7 @@
     }
     HttpAnswer foreign;
     foreign.status = 200;
-    BOOST_TEST((relay::fromHttp(foreign).outcome == relay::RelayOutcome::kUnknown));
+    BOOST_TEST((relay::fromHttp(foreign).result.outcome == relay::RelayOutcome::kUnknown));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
