Spread changes as rumors instead of pushing each to every node

Cause: each change of a node's record went to all 294 others by a message of its own: some 180,000 messages in the ten seconds in which a fleet of 295 starts, and 295 at once for each step of a planned stop. Ruled out: a tree of the nodes by name: no fewer messages, and a lost one cuts a branch off. Change: rumor mongering with feedback and counters (Demers et al., PODC 1987): a changed record is told to 2 random nodes a round of 100 ms (8 in the first round of its own node), by each node to which it was news, until 2 receivers knew it; what is to be told travels together. A new table's version is told the same way, instead of to 32 nodes by each. A starting node exchanges all with 4 nodes instead of 16; exchanges on the timer find what rumors miss.

--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -12,6 +12,8 @@
 
 constexpr std::size_t kZones = 3;
 constexpr Duration kCallerDeadline = 2s;
+/// A process that is done lets its last answers leave, as the daemon does.
+constexpr Duration kFlushTime = 100ms;
 constexpr Duration kRestartPause = 500ms;
 constexpr std::uint32_t kTimeoutMs = 1500;
 constexpr std::uint32_t kObjectiveMs = 1000;
@@ -187,7 +189,7 @@
     }
     machine.node->stop([this, number] { network_.stopAccepting(machines_[number]->caller_address); },
                        [this, number] {
-                           queue_.schedule(queue_.now(), nullptr, [this, number] { endNode(number); });
+                           queue_.schedule(queue_.now() + kFlushTime, nullptr, [this, number] { endNode(number); });
                            queue_.schedule(queue_.now() + kRestartPause, nullptr,
                                            [this, number] { startNode(number); });
                        });
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -1,6 +1,7 @@
 #include "src/fleet/gossip.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -8,15 +9,28 @@
 
 namespace dewcrank::fleet {
 
+namespace {
+
+/// Stands for the table among the rumors: each message tells its version anyway.
+const std::string kTableRumor;
+/// Tries to find a node that is not suspected, for each that is wanted.
+constexpr std::size_t kTriesForReachable = 4;
+
+}  // namespace
+
 Gossip::Gossip(Clock& clock, RandomSource& random, EventLog& log, BackEndPort& nodes, NodeDirectory& directory,
                policy::RouteTable& table, GossipKnobs knobs)
-    : clock_(clock), random_(random), log_(log), nodes_(nodes), directory_(directory), table_(table), knobs_(knobs) {
+    : clock_(clock),
+      random_(random),
+      log_(log),
+      nodes_(nodes),
+      directory_(directory),
+      table_(table),
+      knobs_(knobs),
+      rumors_(knobs.rumors) {
     directory_.signalSelfChanged().connect(
-        [this] { push_timer_ = clock_.startTimer(Duration::zero(), [this] { pushSelf(); }); });
-    table_.signalAdopted().connect([this] {
-        const auto delay = random_.below(static_cast<std::uint64_t>(knobs_.longest_notice_delay.count()));
-        notice_timer_ = clock_.startTimer(Duration(static_cast<std::int64_t>(delay)), [this] { noticeTable(); });
-    });
+        [this] { spread(directory_.self().name(), knobs_.first_fanout, Duration::zero()); });
+    table_.signalAdopted().connect([this] { spread(kTableRumor, knobs_.rumor_fanout, Duration::zero()); });
 }
 
 void Gossip::start() {
@@ -24,28 +38,36 @@
 }
 
 void Gossip::scheduleNext() {
-    const auto half = static_cast<std::uint64_t>(knobs_.interval.count() / 2);
-    const auto delay = knobs_.interval / 2 + Duration(static_cast<std::int64_t>(random_.below(2 * half)));
-    tick_timer_ = clock_.startTimer(delay, [this] { tick(); });
+    tick_timer_ = clock_.startTimer(spreadOut(knobs_.interval), [this] { tick(); });
+}
+
+/// From half of an interval to one and a half: nodes do not stay in step.
+Duration Gossip::spreadOut(Duration interval) {
+    return interval / 2 +
+           Duration(static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(interval.count()))));
 }
 
+/// With any node, also one that was lost: whoever finds it alive again brings it up to date.
 void Gossip::tick() {
-    const auto name = randomNode();
-    if (!name.empty()) {
-        exchangeWith(name);
+    if (directory_.otherCount() > 0) {
+        exchangeWith(directory_.other(random_.below(directory_.otherCount())).record.name());
     }
     scheduleNext();
 }
 
-/// Any node, also one that was lost: whoever finds it alive again brings it up to date.
-std::string Gossip::randomNode() {
-    const auto& others = directory_.others();
-    if (others.empty()) {
-        return "";
+/// Different nodes, as many of them as can be had without suspected ones.
+std::vector<std::string> Gossip::randomNodes(std::size_t most) {
+    std::set<std::string> names;
+    for (std::size_t tries = most * kTriesForReachable; tries > 0 && names.size() < most; --tries) {
+        if (directory_.otherCount() == 0) {
+            break;
+        }
+        const auto& node = directory_.other(random_.below(directory_.otherCount()));
+        if (!NodeDirectory::isSuspected(node)) {
+            names.insert(node.record.name());
+        }
     }
-    auto chosen = others.begin();
-    std::advance(chosen, static_cast<std::ptrdiff_t>(random_.below(others.size())));
-    return chosen->first;
+    return {names.begin(), names.end()};
 }
 
 wire::Gossip Gossip::message() const {
@@ -56,46 +78,63 @@
     return message;
 }
 
-void Gossip::pushSelf() {
-    auto push = message();
-    *push.add_records() = directory_.self();
-    std::vector<std::string> names;
-    for (const auto& [name, node] : directory_.others()) {
-        names.push_back(name);
+// Rumors ---------------------------------------------------------------------
+
+/// Something is news here. A round that is due earlier takes it along.
+void Gossip::spread(const std::string& name, std::size_t fanout, Duration wait) {
+    rumors_.add(name);
+    const bool is_earlier = wait == Duration::zero();
+    if (fanout_ == 0 || is_earlier) {
+        rumor_timer_ = clock_.startTimer(wait, [this] { tellRumors(); });
     }
-    for (const auto& name : names) {
-        send(name, push, nullptr);
+    fanout_ = std::max(fanout_, fanout);
+}
+
+void Gossip::tellRumors() {
+    const auto fanout = std::exchange(fanout_, 0);
+    const auto names = rumors_.next(knobs_.most_records);
+    for (const auto& node : randomNodes(fanout)) {
+        tell(node, names);
+    }
+    if (!rumors_.empty()) {
+        fanout_ = knobs_.rumor_fanout;
+        rumor_timer_ = clock_.startTimer(spreadOut(knobs_.rumor_interval), [this] { tellRumors(); });
     }
 }
 
-void Gossip::noticeTable() {
-    std::vector<std::string> behind;
-    for (const auto& [name, node] : directory_.others()) {
-        if (node.table_version < table_.version() && !NodeDirectory::isSuspected(node)) {
-            behind.push_back(name);
+void Gossip::tell(const std::string& node, const std::vector<std::string>& names) {
+    auto rumor = message();
+    rumor.set_is_rumor(true);
+    std::vector<std::string> told;
+    for (const auto& name : names) {
+        rumors_.onTold(name);
+        if (const auto* record = directory_.record(name)) {
+            *rumor.add_records() = *record;
+            told.push_back(name);
         }
     }
-    for (const auto& name : randomly(std::move(behind), knobs_.notice_fanout)) {
-        send(name, message(), nullptr);
-    }
+    send(node, rumor, [this, told = std::move(told)](const wire::Gossip* answer) { onTold(told, answer); });
 }
 
-/// The first of a random order.
-std::vector<std::string> Gossip::randomly(std::vector<std::string> names, std::size_t most) {
-    for (std::size_t i = 0; i < std::min(most, names.size()); ++i) {
-        std::swap(names[i], names[i + random_.below(names.size() - i)]);
+void Gossip::onTold(const std::vector<std::string>& names, const wire::Gossip* answer) {
+    if (answer == nullptr) {
+        return;
+    }
+    for (const auto place : answer->known()) {
+        if (place < names.size()) {
+            rumors_.onUseless(names[place]);
+        }
+    }
+    if (answer->table_version() >= table_.version()) {
+        rumors_.onUseless(kTableRumor);
     }
-    names.resize(std::min(most, names.size()));
-    return names;
 }
 
+// Exchanges ------------------------------------------------------------------
+
 void Gossip::introduceSelf() {
-    pushSelf();
-    std::vector<std::string> names;
-    for (const auto& [name, node] : directory_.others()) {
-        names.push_back(name);
-    }
-    for (const auto& name : randomly(std::move(names), knobs_.first_exchanges)) {
+    spread(directory_.self().name(), knobs_.first_fanout, Duration::zero());
+    for (const auto& name : randomNodes(knobs_.first_exchanges)) {
         exchangeWith(name);
     }
 }
@@ -181,7 +220,7 @@
                              answer.ParseFromString(result.answer.body);
     if (is_answered) {
         directory_.onReached(name);
-        mergeAll(answer);
+        mergeAll(answer, nullptr);
     } else {
         directory_.onUnreachable(name);
     }
@@ -190,9 +229,16 @@
     }
 }
 
-void Gossip::mergeAll(const wire::Gossip& message) {
-    for (const auto& record : message.records()) {
-        directory_.merge(record);
+/// @param reply told which records were no news; null for an answer.
+void Gossip::mergeAll(const wire::Gossip& message, wire::Gossip* reply) {
+    for (int place = 0; place < message.records_size(); ++place) {
+        const auto& record = message.records(place);
+        const bool is_news = directory_.merge(record);
+        if (is_news && message.is_rumor()) {
+            spread(record.name(), knobs_.rumor_fanout, spreadOut(knobs_.rumor_interval));
+        } else if (!is_news && reply != nullptr && message.is_rumor()) {
+            reply->add_known(static_cast<std::uint32_t>(place));
+        }
     }
     directory_.onTableVersion(message.sender(), message.table_version());
     if (message.has_table()) {
@@ -223,8 +269,8 @@
     }
     directory_.addAddress(received.sender(), "", received.sender_address());
     directory_.onReached(received.sender());
-    mergeAll(received);
     auto reply = message();
+    mergeAll(received, &reply);
     if (received.digest_size() > 0) {
         const auto difference = directory_.differenceTo({received.digest().begin(), received.digest().end()});
         for (const auto& record : difference.newer) {
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -1,6 +1,7 @@
 /// @file
-/// Spreads records and the table between nodes: a push on each change, and an anti-entropy
-/// exchange with one random node on a timer.
+/// Spreads records and the table between nodes: changes as rumors, which each receiver to which
+/// they are news passes on, and an anti-entropy exchange with one random node on a timer, which
+/// finds what rumors have missed.
 #pragma once
 
 #include <functional>
@@ -12,6 +13,7 @@
 
 #include "src/base/http_message.h"
 #include "src/fleet/node_directory.h"
+#include "src/fleet/rumor_queue.h"
 #include "src/policy/route_table.h"
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
@@ -27,14 +29,15 @@
 struct GossipKnobs {
     Duration interval = 700ms;
     Duration timeout = 600ms;
-    /// Nodes that hear of a new table version directly; the others hear from them.
-    std::size_t notice_fanout = 32;
-    /// Nodes, at random, with which a starting node exchanges all; the others just hear of it.
-    std::size_t first_exchanges = 16;
+    RumorKnobs rumors;
+    Duration rumor_interval = 100ms;  ///< Between two rounds while there is something to tell.
+    std::size_t rumor_fanout = 2;     ///< Nodes that are told in a round.
+    std::size_t first_fanout = 8;     ///< The same for the first round of a node's own change.
+    std::size_t most_records = 64;    ///< In a message.
+    /// Nodes, at random, with which a starting node exchanges all.
+    std::size_t first_exchanges = 4;
     /// Nodes that are asked for the table at the same time: it is large, and one may be dead.
     std::size_t most_table_requests = 3;
-    /// A notice waits for a random time up to this, so that nodes that have it anyway say so first.
-    Duration longest_notice_delay = 60ms;
 };
 
 /// The exchange of one node with all others.
@@ -46,7 +49,7 @@
     void start();
     /// Answers another node's message.
     HttpAnswer handle(const HttpRequest& request);
-    /// Makes this node known to all that it knows, and learns from some of them.
+    /// Makes this node known, and learns from some of those that it knows.
     void introduceSelf();
     /// Exchanges all with one node now, unless an exchange with it is under way.
     void exchangeWith(const std::string& name);
@@ -59,19 +62,21 @@
 private:
     using Sent = std::function<void(const wire::Gossip*)>;
     void scheduleNext();
+    Duration spreadOut(Duration interval);
     void tick();
-    void pushSelf();
-    void noticeTable();
+    void spread(const std::string& name, std::size_t fanout, Duration wait);
+    void tellRumors();
+    void tell(const std::string& node, const std::vector<std::string>& names);
+    void onTold(const std::vector<std::string>& names, const wire::Gossip* answer);
     [[nodiscard]] wire::Gossip message() const;
     void send(const std::string& name, const wire::Gossip& message, Sent done);
     void send(const std::string& name, const wire::Gossip& message, Duration timeout, Sent done);
     void onAnswer(const std::string& name, const AttemptResult& result, const Sent& done);
-    void mergeAll(const wire::Gossip& message);
+    void mergeAll(const wire::Gossip& message, wire::Gossip* reply);
     void sendDigest(const std::string& name);
     void sendWanted(const std::string& name, const wire::Gossip& answer);
     void adopt(const wire::RouteTable& table, const std::string& from);
-    std::string randomNode();
-    [[nodiscard]] std::vector<std::string> randomly(std::vector<std::string> names, std::size_t most);
+    std::vector<std::string> randomNodes(std::size_t most);
     void exchangeEnded(const std::string& name);
 
     Clock& clock_;
@@ -85,9 +90,10 @@
     std::set<std::string> asked_for_table_;  ///< Part of the former; most_table_requests at most.
     std::map<std::uint64_t, AttemptHandle> in_flight_;
     std::uint64_t last_number_ = 0;
+    RumorQueue rumors_;
+    std::size_t fanout_ = 0;  ///< Of the next round; 0 while none is due.
     TimerHandle tick_timer_;
-    TimerHandle notice_timer_;
-    TimerHandle push_timer_;
+    TimerHandle rumor_timer_;
 };
 
 }  // namespace dewcrank::fleet
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -131,7 +131,8 @@
 KnownNode& NodeDirectory::knownNode(const std::string& name) {
     auto& known = others_[name];
     if (known.number == 0) {
-        known.number = ++last_number_;
+        by_number_.push_back(&known);
+        known.number = by_number_.size();
     }
     return known;
 }
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -41,6 +41,9 @@
     void addAddress(const std::string& name, const std::string& zone, const std::string& address);
 
     [[nodiscard]] const std::map<std::string, KnownNode>& others() const { return others_; }
+    [[nodiscard]] std::size_t otherCount() const { return by_number_.size(); }
+    /// One of the others. @param place below `otherCount`.
+    [[nodiscard]] const KnownNode& other(std::size_t place) const { return *by_number_[place]; }
     /// The other nodes beside whose instance, whatever its state, a service runs. Costs what is
     /// returned, not the fleet. Valid until the next change of the directory.
     [[nodiscard]] const std::vector<const KnownNode*>& othersWith(const std::string& service) const;
@@ -87,10 +90,10 @@
     Clock& clock_;
     wire::NodeRecord self_;
     std::map<std::string, KnownNode> others_;
-    std::size_t last_number_ = 0;    ///< Given to a node; never given again.
-    std::uint64_t hash_;             ///< Sum over the present records, this node's included.
-    Index by_service_;               ///< Others with an instance, by its service; each list by name.
-    std::size_t with_instance_ = 0;  ///< All that stand in by_service_.
+    std::vector<const KnownNode*> by_number_;  ///< The same; a node stands at its number less one.
+    std::uint64_t hash_;                       ///< Sum over the present records, this node's included.
+    Index by_service_;                         ///< Others with an instance, by its service; each list by name.
+    std::size_t with_instance_ = 0;            ///< All that stand in by_service_.
     sigc::signal<void(const std::string&)> signal_changed_;
     sigc::signal<void(const std::string&)> signal_suspected_;
     sigc::signal<void()> signal_self_changed_;
