Make one product of two: remove dewcrank-node; the operators' tool edits the sidecars' table

Ruled out: keeping claims, ledgers and shares for later: none of the users' rules asks for them. Change: dewcrank-node, dewcrank-lab, its stand-ins, its simulator, scenarios, peer messages over nng and their tests and pages are gone. dewcrank edits the table of the sidecars (src/policy/table_rows, platform/config_store): checked cells, compare-and-set, read back when an answer is lost, waits until it is in force at named nodes. Demo and process tests run sidecars. contract_store holds one contract for the store against the platform's translation and the simulator's model. Tests that went tested what went; those of command line, store contract and fleets of processes are replaced by ones for what is built now.

--- a/apps/ctl/commands.cc
+++ b/apps/ctl/commands.cc
@@ -1,209 +1,182 @@
 #include "apps/ctl/commands.h"
 
 #include <fstream>
+#include <functional>
 #include <iostream>
-#include <nlohmann/json.hpp>
-#include <random>
 #include <set>
 #include <sstream>
 
-#include "src/node/store_reader.h"
-#include "src/node/zone_reporter.h"
-#include "src/policy/row.h"
-
 namespace dewcrank::ctl {
 
 namespace {
 
-using Json = nlohmann::ordered_json;
-
-constexpr Duration kForcePoll = 50ms;
-constexpr Duration kWatchPause = 1s;
+constexpr Duration kForcePoll = 100ms;
 /// Tries to find out what became of a write whose answer was lost.
 constexpr int kReadBackTries = 10;
 constexpr Duration kReadBackPause = 300ms;
-const std::string kHistoryPrefix = "history/";
 
-int report(const StepError& error, int code) {
-    std::cerr << error.text() << '\n';
-    return code;
-}
+using Edit = std::function<Result<void>(wire::RouteTable*)>;
 
-std::string newEditName() {
-    std::random_device random;
-    std::ostringstream name;
-    name << std::hex << random() << random();
-    return name.str();
+/// Runs a body that gives a Result. @return false, with the error printed, if it failed.
+template <typename Body>
+bool succeeds(Body&& body) {
+    return runOrReport(std::forward<Body>(body), [](const StepError& error) { std::cerr << error.text() << '\n'; });
 }
 
-std::string objectName(const std::string& row) {
-    return std::string(node::kTablePrefix) + row;
-}
+// In force -----------------------------------------------------------------------
 
-/// Reads the store; on failure reports and gives false.
-bool readOrReport(PlatformAccess& platform, const std::string& prefix, StoreChanges* changes) {
-    return runOrReport(
-        [&]() -> Result<void> {
-            BOOST_LEAF_ASSIGN(*changes, platform.read(prefix));
-            return {};
-        },
-        [](const StepError& error) { report(error, kExitUnknown); });
+/// The value of a metric without labels; nothing if the page does not have it.
+std::optional<std::uint64_t> metricIn(const std::string& page, const std::string& name) {
+    std::istringstream lines(page);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(name + " ")) {
+            return static_cast<std::uint64_t>(std::strtod(line.c_str() + name.size(), nullptr));
+        }
+    }
+    return std::nullopt;
 }
 
-// In force -----------------------------------------------------------------
+/// The version of the table that is in force at a node.
+Result<std::uint64_t> versionAt(StoreAccess& store, const std::string& node) {
+    BOOST_LEAF_AUTO(page, store.readMetrics(node));
+    const auto version = metricIn(page, "dewcrank_table_version");
+    if (!version) {
+        return stepError("node.metrics", node, "the page tells no version of the table");
+    }
+    return *version;
+}
 
-/// Waits until every zone that reports is at `version`. @return kExitOk or kExitNotInForce.
-int waitInForce(PlatformAccess& platform, std::uint64_t version, Duration limit) {
-    const auto started = platform.now();
-    std::set<std::string> reached;
-    std::vector<ZoneStatus> zones;
-    while (platform.now() - started < limit) {
-        StoreChanges changes;
-        if (readOrReport(platform, std::string(node::kStatusPrefix), &changes)) {
-            zones = zonesOf(changes);
-            for (const auto& zone : zones) {
-                if (zone.revision >= version && reached.insert(zone.zone).second) {
-                    std::cout << "in force: zone=" << zone.zone
-                              << " after_ms=" << toMilliseconds(platform.now() - started) << '\n';
-                }
-            }
-            if (!zones.empty() && reached.size() == zones.size()) {
-                return kExitOk;
-            }
-        }
-        platform.wait(kForcePoll);
+int showStatus(StoreAccess& store, const Request& request) {
+    if (request.nodes.empty()) {
+        std::cerr << "status: --node IP:PORT of a node's metrics is expected, once for each node\n";
+        return kExitBadInput;
     }
-    for (const auto& zone : zones) {
-        if (!reached.contains(zone.zone)) {
-            std::cerr << "not in force: zone=" << zone.zone << " revision=" << zone.revision << '\n';
-        }
+    int code = kExitOk;
+    for (const auto& node : request.nodes) {
+        const bool is_read = succeeds([&]() -> Result<void> {
+            BOOST_LEAF_AUTO(version, versionAt(store, node));
+            std::cout << "node=" << node << " version=" << version << '\n';
+            return {};
+        });
+        code = is_read ? code : static_cast<int>(kExitUnknown);
     }
-    return kExitNotInForce;
+    return code;
 }
 
-// Writing rows -------------------------------------------------------------
-
-struct Edit {
-    std::string row;
-    std::string json;
-    std::uint64_t expected_version = 0;
-    std::string note;  ///< For the history.
-};
-
-/// Reads back until the store says whether the row carries our edit.
-WriteOutcome readBack(PlatformAccess& platform, const Edit& edit, const std::string& name, std::uint64_t* version) {
-    for (int attempt = 0; attempt < kReadBackTries; ++attempt) {
-        StoreChanges changes;
-        if (readOrReport(platform, objectName(edit.row), &changes)) {
-            const auto rows = rowsOf(changes);
-            const auto found = rows.find(edit.row);
-            if (found != rows.end() && policy::editMarkOf(found->second.json) == name) {
-                *version = found->second.version;
-                return WriteOutcome::kWritten;
-            }
-            const auto held = found == rows.end() ? 0 : found->second.version;
-            return held == edit.expected_version ? WriteOutcome::kUnknown : WriteOutcome::kConflict;
+int waitInForce(StoreAccess& store, std::uint64_t version, const Request& request) {
+    const auto started = store.now();
+    std::set<std::string> behind(request.nodes.begin(), request.nodes.end());
+    while (!behind.empty() && store.now() - started < request.wait) {
+        std::erase_if(behind, [&](const std::string& node) {
+            std::uint64_t present = 0;
+            runOrReport(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_ASSIGN(present, versionAt(store, node));
+                    return {};
+                },
+                [](const StepError&) {});  // Asked again until the time is up.
+            return present >= version;
+        });
+        if (!behind.empty()) {
+            store.wait(kForcePoll);
         }
-        platform.wait(kReadBackPause);
     }
-    return WriteOutcome::kUnknown;
+    for (const auto& node : behind) {
+        std::cerr << "not in force: version=" << version << " node=" << node << '\n';
+    }
+    if (behind.empty()) {
+        std::cout << "in force: version=" << version << " after_ms=" << toMilliseconds(store.now() - started) << '\n';
+    }
+    return behind.empty() ? kExitOk : kExitNotInForce;
 }
 
-void writeHistory(PlatformAccess& platform, const Edit& edit, const std::string& name, std::uint64_t version) {
-    const auto seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    const Json entry = {
-        {"row", edit.row}, {"version", version}, {"edit", name}, {"change", edit.note}, {"unix_time", seconds}};
-    std::uint64_t ignored = 0;
-    platform.write(kHistoryPrefix + name, 0, entry.dump(), &ignored);
-}
+// Edits --------------------------------------------------------------------------
 
-int reportLostRace(PlatformAccess& platform, const Edit& edit) {
-    StoreChanges changes;
-    if (!readOrReport(platform, objectName(edit.row), &changes)) {
-        return kExitUnknown;
+/// The answer to a write was lost: reads until the store tells whether the table is the one written.
+TableWrite readBack(StoreAccess& store, const wire::RouteTable& written, std::uint64_t expected) {
+    for (int tries = 0; tries < kReadBackTries; ++tries) {
+        StoredTable present;
+        const bool is_read = succeeds([&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(present, store.read());
+            return {};
+        });
+        if (is_read && policy::rowsOf(present.table) == policy::rowsOf(written)) {
+            return TableWrite::kWritten;
+        }
+        if (is_read && present.revision != expected) {
+            return TableWrite::kConflict;
+        }
+        store.wait(kReadBackPause);
     }
-    const auto rows = rowsOf(changes);
-    const auto found = rows.find(edit.row);
-    std::cerr << "lost race: row=" << edit.row << " another edit was saved first; nothing was written; now: "
-              << (found == rows.end() ? std::string("(deleted)") : found->second.json) << '\n';
-    return kExitLostRace;
+    return TableWrite::kUnknown;
 }
 
-int save(PlatformAccess& platform, const Edit& edit, std::uint64_t* version) {
-    const auto name = newEditName();
-    auto outcome =
-        platform.write(objectName(edit.row), edit.expected_version, policy::withEditMark(edit.json, name), version);
-    if (outcome == WriteOutcome::kUnknown) {
-        outcome = readBack(platform, edit, name, version);
-    }
+int reportWrite(TableWrite outcome) {
     switch (outcome) {
-        case WriteOutcome::kWritten:
-            writeHistory(platform, edit, name, *version);
-            std::cout << "saved: row=" << edit.row << " version=" << *version << '\n';
+        case TableWrite::kWritten:
             return kExitOk;
-        case WriteOutcome::kConflict:
-            return reportLostRace(platform, edit);
-        case WriteOutcome::kUnknown:
+        case TableWrite::kConflict:
+            std::cerr << "lost race: another edit was saved first; nothing was written; look, then edit again\n";
+            return kExitLostRace;
+        case TableWrite::kRefused:
+            std::cerr << "refused: the store does not take this table\n";
+            return kExitFailed;
+        case TableWrite::kUnknown:
             break;
     }
-    std::cerr << "unknown: row=" << edit.row << " the store has not answered; look at the row before trying again\n";
+    std::cerr << "unknown: the store has not answered; look at the table before trying again\n";
     return kExitUnknown;
 }
 
-int saveAndWait(PlatformAccess& platform, const std::vector<Edit>& edits, Duration wait) {
-    std::uint64_t version = 0;
-    for (const auto& edit : edits) {
-        if (const int code = save(platform, edit, &version); code != kExitOk) {
-            return code;
-        }
-    }
-    return wait > Duration::zero() && version > 0 ? waitInForce(platform, version, wait) : kExitOk;
-}
-
-// Commands -----------------------------------------------------------------
-
-int showTable(PlatformAccess& platform, Output output) {
-    StoreChanges changes;
-    if (!readOrReport(platform, std::string(node::kTablePrefix), &changes)) {
+/// Reads the table, changes it, and saves it as the next version.
+int save(StoreAccess& store, const Edit& edit, const Request& request) {
+    StoredTable stored;
+    const bool is_read = succeeds([&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(stored, store.read());
+        return {};
+    });
+    if (!is_read) {
         return kExitUnknown;
     }
-    std::cout << renderTable(rowsOf(changes), output);
-    return kExitOk;
+    auto changed = stored.table;
+    const bool is_valid = succeeds([&]() -> Result<void> {
+        BOOST_LEAF_CHECK(edit(&changed));
+        return policy::checkTable(changed);
+    });
+    if (!is_valid) {
+        return kExitBadInput;
+    }
+    changed.set_version(stored.table.version() + 1);
+    auto outcome = store.write(changed, stored.revision);
+    if (outcome == TableWrite::kUnknown) {
+        outcome = readBack(store, changed, stored.revision);
+    }
+    if (const int code = reportWrite(outcome); code != kExitOk) {
+        return code;
+    }
+    std::cout << "saved: version=" << changed.version() << '\n';
+    const bool waits = request.wait > Duration::zero() && !request.nodes.empty();
+    return waits ? waitInForce(store, changed.version(), request) : static_cast<int>(kExitOk);
 }
 
-int setCell(PlatformAccess& platform, const Request& request) {
+int setCell(StoreAccess& store, const Request& request) {
     const auto& cell = request.words[2];
     const auto& value = request.words[3];
     const auto dot = cell.rfind('.');
     if (dot == std::string::npos) {
-        std::cerr << "table.set: " << cell << ": ROW.COLUMN is expected, such as kind/browse.priority\n";
-        return kExitBadInput;
-    }
-    Edit edit;
-    edit.row = cell.substr(0, dot);
-    edit.note = cell + "=" + value;
-    StoreChanges changes;
-    if (!readOrReport(platform, objectName(edit.row), &changes)) {
-        return kExitUnknown;
-    }
-    const auto rows = rowsOf(changes);
-    const auto found = rows.find(edit.row);
-    if (found == rows.end()) {
-        std::cerr << "table.set: " << edit.row << ": there is no such row; `table import` creates rows\n";
+        std::cerr << "table.set: " << cell << ": ROW.COLUMN is expected, such as route/browse.priority\n";
         return kExitBadInput;
     }
-    edit.expected_version = found->second.version;
-    const bool is_valid = runOrReport(
-        [&]() -> Result<void> {
-            BOOST_LEAF_ASSIGN(edit.json, policy::editCell(edit.row, found->second.json, cell.substr(dot + 1), value));
-            return {};
+    return save(
+        store,
+        [&](wire::RouteTable* table) {
+            return policy::setCell(table, cell.substr(0, dot), cell.substr(dot + 1), value);
         },
-        [](const StepError& error) { report(error, kExitBadInput); });
-    return is_valid ? saveAndWait(platform, {edit}, request.wait) : static_cast<int>(kExitBadInput);
+        request);
 }
 
-int importTable(PlatformAccess& platform, const Request& request) {
+int importRows(StoreAccess& store, const Request& request) {
     const auto& file = request.words[2];
     std::ifstream stream(file);
     if (!stream) {
@@ -212,113 +185,66 @@
     }
     std::stringstream text;
     text << stream.rdbuf();
-    std::map<std::string, std::string> imported;
-    const bool is_valid = runOrReport(
-        [&]() -> Result<void> {
-            BOOST_LEAF_ASSIGN(imported, parseTable(file, text.str()));
-            return {};
-        },
-        [](const StepError& error) { report(error, kExitBadInput); });
-    StoreChanges changes;
-    if (!is_valid) {
+    std::map<std::string, policy::RowCells> rows;
+    const bool is_read = succeeds([&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(rows, parseRows(file, text.str()));
+        return {};
+    });
+    if (!is_read) {
         return kExitBadInput;
     }
-    if (!readOrReport(platform, std::string(node::kTablePrefix), &changes)) {
-        return kExitUnknown;
-    }
-    const auto rows = rowsOf(changes);
-    std::vector<Edit> edits;
-    for (const auto& [name, json] : imported) {
-        const auto found = rows.find(name);
-        const auto version = found == rows.end() ? 0 : found->second.version;
-        edits.push_back({name, json, version, "import " + file});
-    }
-    return saveAndWait(platform, edits, request.wait);
-}
-
-int showHistory(PlatformAccess& platform) {
-    StoreChanges changes;
-    if (!readOrReport(platform, kHistoryPrefix, &changes)) {
-        return kExitUnknown;
-    }
-    std::map<std::uint64_t, std::string> entries;
-    for (const auto& object : changes.objects) {
-        const auto json = Json::parse(object.value, nullptr, false);
-        if (json.is_object()) {
-            entries[json.value("version", std::uint64_t{0})] = object.value;
-        }
-    }
-    for (const auto& [version, entry] : entries) {
-        std::cout << entry << '\n';
-    }
-    return kExitOk;
-}
-
-int showStatus(PlatformAccess& platform, Output output) {
-    StoreChanges changes;
-    if (!readOrReport(platform, std::string(node::kStatusPrefix), &changes)) {
-        return kExitUnknown;
-    }
-    std::cout << renderStatus(zonesOf(changes), output) << std::flush;
-    return kExitOk;
-}
-
-int watchStatus(PlatformAccess& platform, const Request& request) {
-    for (std::uint32_t shown = 0; request.count == 0 || shown < request.count; ++shown) {
-        if (shown > 0) {
-            platform.wait(kWatchPause);
-        }
-        if (const int code = showStatus(platform, request.output); code != kExitOk) {
-            return code;
-        }
-    }
-    return kExitOk;
+    return save(
+        store,
+        [&](wire::RouteTable* table) -> Result<void> {
+            for (const auto& [row, cells] : rows) {
+                BOOST_LEAF_CHECK(policy::putRow(table, row, cells));
+            }
+            return {};
+        },
+        request);
 }
 
-int drainNode(PlatformAccess& platform, const std::string& address) {
-    HttpRequest request;
-    request.method = "POST";
-    request.path = "/drain";
-    const auto result = platform.send(address, std::move(request));
-    if (result.outcome != AttemptOutcome::kAnswered) {
-        std::cerr << "drain: " << address << ": no answer (" << result.reason << ")\n";
+int showTable(StoreAccess& store, Output output) {
+    StoredTable stored;
+    const bool is_read = succeeds([&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(stored, store.read());
+        return {};
+    });
+    if (!is_read) {
         return kExitUnknown;
     }
-    std::cout << "draining: node=" << address << '\n';
+    std::cout << renderTable(stored.table, output);
     return kExitOk;
 }
 
 }  // namespace
 
-int runCommand(PlatformAccess& platform, const Request& request) {
+int runCommand(StoreAccess& store, const Request& request) {
     const auto& words = request.words;
     const auto is = [&words](std::size_t count, const std::string& first, const std::string& second = "") {
         return words.size() == count && words[0] == first && (second.empty() || words[1] == second);
     };
-    if (is(2, "table", "show") || is(2, "table", "export")) {
-        const bool is_export = words[1] == "export" && request.output == Output::kText;
-        return showTable(platform, is_export ? Output::kCsv : request.output);
+    if (is(2, "table", "show")) {
+        return showTable(store, request.output);
+    }
+    if (is(2, "table", "export")) {
+        return showTable(store, request.output == Output::kText ? Output::kCsv : request.output);
     }
     if (is(4, "table", "set")) {
-        return setCell(platform, request);
+        return setCell(store, request);
     }
     if (is(3, "table", "import")) {
-        return importTable(platform, request);
+        return importRows(store, request);
     }
-    if (is(2, "table", "history")) {
-        return showHistory(platform);
+    if (is(3, "table", "remove")) {
+        return save(
+            store, [&](wire::RouteTable* table) { return policy::removeRow(table, words[2]); }, request);
     }
     if (is(1, "status")) {
-        return showStatus(platform, request.output);
-    }
-    if (is(1, "watch")) {
-        return watchStatus(platform, request);
-    }
-    if (is(2, "drain")) {
-        return drainNode(platform, words[1]);
+        return showStatus(store, request);
     }
-    std::cerr << "commands: table show | table set ROW.COLUMN VALUE | table import FILE | table export | "
-                 "table history | status | watch | drain IP:PORT\n";
+    std::cerr << "commands: table show | table export | table set ROW.COLUMN VALUE | table import FILE | "
+                 "table remove ROW | table columns | status | explain ID FILE...\n";
     return kExitBadInput;
 }
 
--- a/apps/ctl/commands.h
+++ b/apps/ctl/commands.h
@@ -5,30 +5,30 @@
 #include <string>
 #include <vector>
 
-#include "apps/ctl/platform_access.h"
+#include "apps/ctl/store_access.h"
 #include "apps/ctl/table_view.h"
 
 namespace dewcrank::ctl {
 
-/// Exit codes; docs/OPERATING.md lists them.
+/// Exit codes; docs/OPERATIONS.md lists them.
 enum ExitCode {
     kExitOk = 0,
     kExitFailed = 1,
     kExitBadInput = 2,
     kExitLostRace = 3,
-    kExitUnknown = 4,     ///< The store does not answer: nothing is known.
-    kExitNotInForce = 5,  ///< Saved, but not in force at every zone in time.
+    kExitUnknown = 4,     ///< The store, or the node, does not answer: nothing is known.
+    kExitNotInForce = 5,  ///< Saved, but not in force everywhere in time.
 };
 
 /// What was asked for.
 struct Request {
     std::vector<std::string> words;  ///< The command and its arguments.
     Output output = Output::kText;
-    Duration wait{};          ///< How long to wait until an edit is in force.
-    std::uint32_t count = 0;  ///< Repetitions of `watch`; 0: without end.
+    std::vector<std::string> nodes;  ///< "ip:port" of the metrics of nodes that are asked what is in force.
+    Duration wait{};                 ///< How long to wait until an edit is in force at all of them.
 };
 
 /// Runs one command; what people read goes to standard output, errors to standard error.
-int runCommand(PlatformAccess& platform, const Request& request);
+int runCommand(StoreAccess& store, const Request& request);
 
 }  // namespace dewcrank::ctl
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -8,7 +8,7 @@
 echo "format: ${#sources[@]} files clean"
 fresh=$(mktemp -d)
 trap 'rm -rf "$fresh"' EXIT
-protoc --proto_path=proto --cpp_out="$fresh" peer.proto fleet.proto
+protoc --proto_path=proto --cpp_out="$fresh" fleet.proto
 diff -r proto/generated "$fresh"
 echo "generated code: matches proto/*.proto"
 platform_names='Dewcrank-[A-Z][a-z]+-|/dewcrank/(readiness|Instances|objects)|AppAddr|PathPrefix|TargetLatencyMs|TrafficSplit'
@@ -22,6 +22,6 @@
     exit 1
 fi
 echo "platform/: $lines lines; its names stand nowhere else"
-mapfile -t units < <(git ls-files 'src/*.cc' 'apps/*.cc' 'sim/*.cc' 'platform/*.cc')
+mapfile -t units < <(git ls-files 'src/*.cc' 'apps/*.cc' 'sim/*.cc' 'platform/*.cc' 'tests/soak/*.cc' 'tests/standins/*.cc')
 printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet --warnings-as-errors='*' 2> /dev/null
 echo "lint: ${#units[@]} files clean"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -62,7 +62,8 @@
     fleet=${keep:-$(mktemp -d)}
     mkdir -p "$fleet"
     touch "$fleet/running"
-    "$programs/dewcrank-soak" --directory "$fleet" --seed "$seed" --seconds "$seconds" "$@" > "$fleet/report" 2>&1 &
+    "$programs/dewcrank-soak" --directory "$fleet" --seed "$seed" --seconds "$seconds" "$@" \
+        > >(tee "$fleet/report" | grep --line-buffered -v '^fault:') 2>&1 &
     driver=$!
     while [ ! -e "$fleet/nodes" ] && kill -0 "$driver" 2> /dev/null; do
         sleep 0.05
@@ -74,7 +75,6 @@
     fi
     wait "$driver" || result=$?
     take_down
-    grep -v '^fault:' "$fleet/report"
     if [ "$result" != 0 ]; then
         echo "seed $seed, $seconds s: exit code $result; logs: $fleet"
     elif [ -z "$keep" ]; then
--- a/src/base/field_list.cc
+++ b/src/base/field_list.cc
@@ -10,6 +10,7 @@
 constexpr char kEscape = '%';
 constexpr int kHexadecimal = 16;
 constexpr std::size_t kEscapeDigits = 2;
+constexpr std::string_view kDigits = "0123456789abcdef";
 /// Stands for an empty text.
 constexpr std::string_view kEmpty = "%";
 
@@ -26,7 +27,6 @@
 }
 
 FieldWriter& FieldWriter::add(std::string_view text) {
-    constexpr std::string_view kDigits = "0123456789abcdef";
     begin();
     if (text.empty()) {
         text_ += kEmpty;
--- /dev/null
+++ b/src/policy/table_rows.cc
@@ -0,0 +1,350 @@
+#include "src/policy/table_rows.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <sstream>
+
+namespace dewcrank::policy {
+
+namespace {
+
+constexpr const char* kStep = "table";
+constexpr const char* kRoute = "route";
+constexpr const char* kService = "service";
+constexpr const char* kLimits = "limits";
+constexpr const char* kOnlyLimits = "limits/callers";
+constexpr std::uint32_t kLongestMs = 600'000;
+constexpr std::uint32_t kMostBytes = 1U << 30U;
+constexpr std::uint32_t kMostAttempts = 10;
+constexpr std::uint32_t kLeastUrgent = 7;
+constexpr std::uint32_t kMostConnections = 100'000;
+constexpr std::uint32_t kMostWeight = 10'000;
+
+std::string cellPlace(const std::string& row, const std::string& column) {
+    return row + "." + column;
+}
+
+std::string gotAndAllowed(const std::string& value, const std::string& allowed) {
+    return "got '" + value + "', allowed: " + allowed;
+}
+
+/// Reads a whole number; nothing if the text is none or it is out of the limits.
+std::optional<std::uint32_t> numberIn(std::string_view text, std::uint32_t least, std::uint32_t most) {
+    std::uint32_t number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool is_number = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    return is_number && number >= least && number <= most ? std::optional(number) : std::nullopt;
+}
+
+/// One column of the rows that a message holds.
+template <typename Message>
+struct Column {
+    const char* name;
+    std::string allowed;
+    const char* meaning;
+    std::function<std::string(const Message&)> get;
+    std::function<bool(Message*, const std::string&)> set;  ///< False: the value is not allowed.
+};
+
+template <typename Message>
+Column<Message> numberColumn(const char* name, std::uint32_t least, std::uint32_t most, const char* meaning,
+                             std::uint32_t (Message::*get)() const, void (Message::*set)(std::uint32_t)) {
+    return {name, "a whole number from " + std::to_string(least) + " to " + std::to_string(most), meaning,
+            [get](const Message& message) { return std::to_string((message.*get)()); },
+            [=](Message* message, const std::string& value) {
+                const auto number = numberIn(value, least, most);
+                if (number) {
+                    (message->*set)(*number);
+                }
+                return number.has_value();
+            }};
+}
+
+bool isPathPrefix(const std::string& text) {
+    return text.size() >= 1 && text.front() == '/' && text.back() == '/';
+}
+
+bool isHost(const std::string& text) {
+    return !text.empty() && text.find_first_of(" \t/:") == std::string::npos;
+}
+
+std::string partsText(const wire::Route& route) {
+    if (route.parts_size() == 1) {
+        return route.parts(0).service();
+    }
+    std::string text;
+    for (const auto& part : route.parts()) {
+        text += (text.empty() ? "" : " ") + part.service() + ":" + std::to_string(part.weight());
+    }
+    return text;
+}
+
+/// "desk", or "desk:90 browse:10".
+bool setParts(wire::Route* route, const std::string& value) {
+    wire::Route read;
+    std::istringstream words(value);
+    std::string word;
+    while (words >> word) {
+        const auto colon = word.find(':');
+        auto* part = read.add_parts();
+        part->set_service(word.substr(0, colon));
+        part->set_weight(1);
+        if (colon != std::string::npos) {
+            const auto weight = numberIn(std::string_view(word).substr(colon + 1), 0, kMostWeight);
+            if (!weight) {
+                return false;
+            }
+            part->set_weight(*weight);
+        }
+        if (part->service().empty()) {
+            return false;
+        }
+    }
+    const auto& parts = read.parts();
+    if (std::none_of(parts.begin(), parts.end(), [](const auto& part) { return part.weight() > 0; })) {
+        return false;
+    }
+    route->mutable_parts()->Swap(read.mutable_parts());
+    return true;
+}
+
+const std::vector<Column<wire::Route>>& routeColumns() {
+    using wire::Route;
+    static const std::vector<Column<Route>> columns = {
+        {"host", "a host name", "Host header of the requests", [](const Route& it) { return it.host(); },
+         [](Route* it, const std::string& value) {
+             it->set_host(value);
+             return isHost(value);
+         }},
+        {"prefix", "a path that begins and ends with a slash", "begin of the requests' path",
+         [](const Route& it) { return it.prefix(); },
+         [](Route* it, const std::string& value) {
+             it->set_prefix(value);
+             return isPathPrefix(value);
+         }},
+        {"services", "a service, or services with weights: 'desk:90 browse:10'", "where the requests go", partsText,
+         setParts},
+        {"repeatable", "true or false", "false: a request is sent to an instance once",
+         [](const Route& it) { return std::string(it.is_repeatable() ? "true" : "false"); },
+         [](Route* it, const std::string& value) {
+             it->set_is_repeatable(value == "true");
+             return value == "true" || value == "false";
+         }},
+        numberColumn<Route>("priority", 0, kLeastUrgent, "0 is refused last", &Route::priority, &Route::set_priority),
+        numberColumn<Route>("attempts", 1, kMostAttempts, "instances that a request may be sent to",
+                            &Route::max_attempts, &Route::set_max_attempts),
+        numberColumn<Route>("timeout_ms", 1, kLongestMs, "milliseconds that a request is held at most",
+                            &Route::timeout_ms, &Route::set_timeout_ms),
+        numberColumn<Route>("objective_ms", 1, kLongestMs, "milliseconds within which an answer is in time",
+                            &Route::objective_ms, &Route::set_objective_ms),
+    };
+    return columns;
+}
+
+const std::vector<Column<wire::ServiceEntry>>& serviceColumns() {
+    using wire::ServiceEntry;
+    static const std::vector<Column<ServiceEntry>> columns = {
+        {"health_path", "a path that begins with a slash", "GET there answers 200 at a sound instance",
+         [](const ServiceEntry& it) { return it.health_path(); },
+         [](ServiceEntry* it, const std::string& value) {
+             it->set_health_path(value);
+             return value.starts_with('/');
+         }},
+        numberColumn<ServiceEntry>("connections", 1, kMostConnections, "connections that an instance takes",
+                                   &ServiceEntry::max_connections, &ServiceEntry::set_max_connections),
+    };
+    return columns;
+}
+
+const std::vector<Column<wire::CallerLimits>>& limitColumns() {
+    using Limits = wire::CallerLimits;
+    static const std::vector<Column<Limits>> columns = {
+        numberColumn<Limits>("header_bytes", 1, kMostBytes, "bytes of a request's head", &Limits::header_bytes,
+                             &Limits::set_header_bytes),
+        numberColumn<Limits>("body_bytes", 1, kMostBytes, "bytes of a request's body", &Limits::body_bytes,
+                             &Limits::set_body_bytes),
+        numberColumn<Limits>("header_timeout_ms", 1, kLongestMs, "milliseconds that a head may take",
+                             &Limits::header_timeout_ms, &Limits::set_header_timeout_ms),
+        numberColumn<Limits>("idle_timeout_ms", 1, kLongestMs, "milliseconds that a connection may rest",
+                             &Limits::idle_timeout_ms, &Limits::set_idle_timeout_ms),
+    };
+    return columns;
+}
+
+template <typename Message>
+std::vector<ColumnInfo> infosOf(const std::vector<Column<Message>>& columns) {
+    std::vector<ColumnInfo> infos;
+    for (const auto& column : columns) {
+        infos.push_back({column.name, column.allowed, column.meaning});
+    }
+    return infos;
+}
+
+template <typename Message>
+RowCells cellsOf(const Message& message, const std::vector<Column<Message>>& columns) {
+    RowCells cells;
+    for (const auto& column : columns) {
+        cells[column.name] = column.get(message);
+    }
+    return cells;
+}
+
+template <typename Message>
+Result<void> setIn(Message* message, const std::vector<Column<Message>>& columns, const std::string& row,
+                   const std::string& column, const std::string& value) {
+    const auto found =
+        std::find_if(columns.begin(), columns.end(), [&](const auto& candidate) { return column == candidate.name; });
+    if (found == columns.end()) {
+        return stepError(kStep, cellPlace(row, column), "there is no such column");
+    }
+    Message changed = *message;
+    if (!found->set(&changed, value)) {
+        return stepError(kStep, cellPlace(row, column), gotAndAllowed(value, found->allowed));
+    }
+    *message = changed;
+    return {};
+}
+
+std::string nameIn(const std::string& row) {
+    const auto slash = row.find('/');
+    return slash == std::string::npos ? "" : row.substr(slash + 1);
+}
+
+/// The message of a name in a repeated field; null if there is none.
+template <typename Messages>
+auto* findIn(Messages* messages, const std::string& name) {
+    const auto found =
+        std::find_if(messages->begin(), messages->end(), [&](const auto& message) { return message.name() == name; });
+    return found == messages->end() ? nullptr : &*found;
+}
+
+template <typename Messages>
+bool removeIn(Messages* messages, const std::string& name) {
+    const auto found =
+        std::find_if(messages->begin(), messages->end(), [&](const auto& message) { return message.name() == name; });
+    if (found == messages->end()) {
+        return false;
+    }
+    messages->erase(found);
+    return true;
+}
+
+boost::leaf::error_id noSuchRow(const std::string& row) {
+    return stepError(kStep, row, "there is no such row");
+}
+
+bool goesTo(const wire::Route& route, const std::string& service) {
+    return std::any_of(route.parts().begin(), route.parts().end(),
+                       [&](const auto& part) { return part.service() == service; });
+}
+
+}  // namespace
+
+const std::vector<std::string>& rowTypes() {
+    static const std::vector<std::string> types = {kRoute, kService, kLimits};
+    return types;
+}
+
+std::vector<ColumnInfo> columnsOf(std::string_view type) {
+    if (type == kRoute) {
+        return infosOf(routeColumns());
+    }
+    if (type == kService) {
+        return infosOf(serviceColumns());
+    }
+    return type == kLimits ? infosOf(limitColumns()) : std::vector<ColumnInfo>();
+}
+
+std::string_view rowTypeOf(std::string_view row) {
+    return row.substr(0, row.find('/'));
+}
+
+std::map<std::string, RowCells> rowsOf(const wire::RouteTable& table) {
+    std::map<std::string, RowCells> rows;
+    for (const auto& route : table.routes()) {
+        rows[std::string(kRoute) + "/" + route.name()] = cellsOf(route, routeColumns());
+    }
+    for (const auto& service : table.services()) {
+        rows[std::string(kService) + "/" + service.name()] = cellsOf(service, serviceColumns());
+    }
+    rows[kOnlyLimits] = cellsOf(table.limits(), limitColumns());
+    return rows;
+}
+
+Result<void> setCell(wire::RouteTable* table, const std::string& row, const std::string& column,
+                     const std::string& value) {
+    const auto name = nameIn(row);
+    if (row == kOnlyLimits) {
+        return setIn(table->mutable_limits(), limitColumns(), row, column, value);
+    }
+    if (rowTypeOf(row) == kRoute) {
+        auto* route = findIn(table->mutable_routes(), name);
+        return route == nullptr ? noSuchRow(row) : setIn(route, routeColumns(), row, column, value);
+    }
+    if (rowTypeOf(row) == kService) {
+        auto* service = findIn(table->mutable_services(), name);
+        return service == nullptr ? noSuchRow(row) : setIn(service, serviceColumns(), row, column, value);
+    }
+    return noSuchRow(row);
+}
+
+Result<void> putRow(wire::RouteTable* table, const std::string& row, const RowCells& cells) {
+    const auto type = rowTypeOf(row);
+    const auto name = nameIn(row);
+    const bool is_known_type = type == kRoute || type == kService;
+    if (row != kOnlyLimits && (!is_known_type || name.empty())) {
+        return stepError(kStep, row, "rows are route/NAME, service/NAME and limits/callers");
+    }
+    if (type == kRoute && findIn(table->mutable_routes(), name) == nullptr) {
+        auto* route = table->add_routes();
+        route->set_name(name);
+        route->set_max_attempts(1);
+    } else if (type == kService && findIn(table->mutable_services(), name) == nullptr) {
+        table->add_services()->set_name(name);
+    }
+    for (const auto& [column, value] : cells) {
+        BOOST_LEAF_CHECK(setCell(table, row, column, value));
+    }
+    return {};
+}
+
+Result<void> removeRow(wire::RouteTable* table, const std::string& row) {
+    const auto name = nameIn(row);
+    if (rowTypeOf(row) == kRoute && removeIn(table->mutable_routes(), name)) {
+        return {};
+    }
+    if (rowTypeOf(row) != kService || findIn(table->mutable_services(), name) == nullptr) {
+        return noSuchRow(row);
+    }
+    for (const auto& route : table->routes()) {
+        if (goesTo(route, name)) {
+            return stepError(kStep, row, "route/" + route.name() + " goes to it");
+        }
+    }
+    removeIn(table->mutable_services(), name);
+    return {};
+}
+
+Result<void> checkTable(const wire::RouteTable& table) {
+    for (const auto& route : table.routes()) {
+        const auto row = std::string(kRoute) + "/" + route.name();
+        for (const auto& column : routeColumns()) {
+            auto copy = route;
+            const auto value = column.get(route);
+            if (!column.set(&copy, value)) {
+                return stepError(kStep, cellPlace(row, column.name), gotAndAllowed(value, column.allowed));
+            }
+        }
+        for (const auto& part : route.parts()) {
+            const auto& services = table.services();
+            if (std::none_of(services.begin(), services.end(),
+                             [&](const auto& service) { return service.name() == part.service(); })) {
+                return stepError(kStep, cellPlace(row, "services"), "there is no service/" + part.service());
+            }
+        }
+    }
+    return {};
+}
+
+}  // namespace dewcrank::policy
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <utility>
 
 #include "src/base/http_status.h"
@@ -115,6 +116,29 @@
     return faults;
 }
 
+Result<PlannedFault> parseFault(const std::string& text, std::size_t nodes) {
+    const auto at = text.find('@');
+    PlannedFault fault;
+    fault.name = text.substr(0, at);
+    const auto names = faultNames();
+    if (std::find(names.begin(), names.end(), fault.name) == names.end()) {
+        return stepError("flags", "--fault", "there is no fault '" + fault.name + "'; --list prints them");
+    }
+    double from = 0;
+    double lasts = 0;
+    unsigned long node = 0;
+    const auto* rest = at == std::string::npos ? "" : text.c_str() + at;
+    if (std::sscanf(rest, "@%lf+%lf/%lu", &from, &lasts, &node) != 3 || from < 0 || lasts < 0 || node >= nodes) {
+        return stepError(
+            "flags", "--fault",
+            "got '" + text + "', KIND@SECONDS+SECONDS/NODE is expected, with a node below " + std::to_string(nodes));
+    }
+    fault.at = Duration(static_cast<std::int64_t>(from * 1e6));
+    fault.lasts = Duration(static_cast<std::int64_t>(lasts * 1e6));
+    fault.node = node;
+    return fault;
+}
+
 FaultInjector::FaultInjector(adapters::EventLoop& loop, Fleet& fleet, Callers& callers, double usual_rate)
     : loop_(loop), fleet_(fleet), callers_(callers), usual_rate_(usual_rate) {}
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -27,6 +27,10 @@
 std::vector<PlannedFault> drawFaults(RandomSource& random, Duration length, std::size_t nodes,
                                      const std::vector<std::string>& only);
 
+/// Reads "KIND@SECONDS+SECONDS/NODE": what, from when on, for how long, and at which node (a number). The
+/// error names what is expected.
+Result<PlannedFault> parseFault(const std::string& text, std::size_t nodes);
+
 /// When the last fault of a soak of this length has ended.
 Duration quietFrom(Duration length);
 
--- a/tests/standins/object_store.h
+++ b/tests/standins/object_store.h
@@ -34,6 +34,8 @@
     Result<adapters::SocketAddress> listen(const adapters::SocketAddress& address) { return server_.listen(address); }
     /// The operator's write of `Spec`: acknowledged when it returns, whatever the faults.
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    /// `Spec` of an object; null if there is none.
+    [[nodiscard]] nlohmann::json get(const std::string& kind, const std::string& name) const;
     StoreFaults& faults() { return faults_; }
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
--- /dev/null
+++ b/tests/unit/policy/table_rows_test.cc
@@ -0,0 +1,108 @@
+#include "src/policy/table_rows.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+wire::RouteTable tableOf() {
+    wire::RouteTable table;
+    table.add_services()->set_name("desk");
+    table.add_services()->set_name("leaf");
+    auto* route = table.add_routes();
+    route->set_name("browse");
+    route->set_host("fleet.example");
+    route->set_prefix("/browse/");
+    route->set_max_attempts(2);
+    route->set_timeout_ms(1200);
+    route->set_objective_ms(1000);
+    auto* part = route->add_parts();
+    part->set_service("desk");
+    part->set_weight(1);
+    return table;
+}
+
+std::string errorOfCell(const std::string& row, const std::string& column, const std::string& value) {
+    auto table = tableOf();
+    return tests::errorOf([&] { return policy::setCell(&table, row, column, value); });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unit_policy_table_rows)
+
+BOOST_AUTO_TEST_CASE(a_cell_holds_what_its_column_allows_and_an_error_says_what_that_is) {
+    struct Case {
+        const char* column;
+        const char* value;
+        const char* error;  ///< Empty: allowed.
+    };
+    const Case cases[] = {
+        {"priority", "0", ""},
+        {"priority", "8", "table: route/browse.priority: got '8', allowed: a whole number from 0 to 7"},
+        {"priority", "", "table: route/browse.priority: got '', allowed: a whole number from 0 to 7"},
+        {"timeout_ms", "1e3", "table: route/browse.timeout_ms: got '1e3', allowed: a whole number from 1 to 600000"},
+        {"repeatable", "false", ""},
+        {"repeatable", "no", "table: route/browse.repeatable: got 'no', allowed: true or false"},
+        {"prefix", "/a/", ""},
+        {"prefix", "/a", "table: route/browse.prefix: got '/a', allowed: a path that begins and ends with a slash"},
+        {"services", "leaf", ""},
+        {"services", "desk:90 leaf:10", ""},
+        {"services", "desk:0",
+         "table: route/browse.services: got 'desk:0', allowed: a service, or services with "
+         "weights: 'desk:90 browse:10'"},
+        {"colour", "red", "table: route/browse.colour: there is no such column"},
+    };
+    for (const auto& entry : cases) {
+        BOOST_TEST(errorOfCell("route/browse", entry.column, entry.value) == entry.error, entry.value);
+    }
+    BOOST_TEST(errorOfCell("route/none", "priority", "1") == "table: route/none: there is no such row");
+    BOOST_TEST(errorOfCell("priority", "priority", "1") == "table: priority: there is no such row");
+}
+
+BOOST_AUTO_TEST_CASE(a_value_that_is_not_allowed_changes_nothing) {
+    auto table = tableOf();
+    const auto before = policy::rowsOf(table);
+    const auto error = tests::errorOf([&] { return policy::setCell(&table, "route/browse", "services", "desk:x"); });
+    BOOST_TEST(error != "");
+    BOOST_TEST((policy::rowsOf(table) == before));
+}
+
+BOOST_AUTO_TEST_CASE(rows_of_a_table_make_the_same_table_again) {
+    auto table = tableOf();
+    BOOST_TEST(tests::errorOf([&] { return policy::setCell(&table, "route/browse", "services", "desk:90 leaf:10"); }) ==
+               "");
+    BOOST_TEST(tests::errorOf([&] { return policy::setCell(&table, "service/desk", "health_path", "/h"); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::setCell(&table, "service/desk", "connections", "9"); }) == "");
+    wire::RouteTable again;
+    for (auto [row, cells] : policy::rowsOf(table)) {
+        std::erase_if(cells, [](const auto& cell) { return cell.second.empty() || cell.second == "0"; });
+        BOOST_TEST(tests::errorOf([&] { return policy::putRow(&again, row, cells); }) == "");
+    }
+    BOOST_TEST((policy::rowsOf(again) == policy::rowsOf(table)));
+}
+
+BOOST_AUTO_TEST_CASE(a_route_needs_all_its_cells_and_services_that_are_there) {
+    auto table = tableOf();
+    BOOST_TEST(tests::errorOf([&] { return policy::checkTable(table); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::putRow(&table, "route/new", {{"host", "h"}}); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::checkTable(table); }).find("route/new.prefix") != std::string::npos);
+    BOOST_TEST(tests::errorOf([&] { return policy::removeRow(&table, "route/new"); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::setCell(&table, "route/browse", "services", "nobody"); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::checkTable(table); }) ==
+               "table: route/browse.services: there is no service/nobody");
+}
+
+BOOST_AUTO_TEST_CASE(a_service_that_a_route_goes_to_stays) {
+    auto table = tableOf();
+    BOOST_TEST(tests::errorOf([&] { return policy::removeRow(&table, "service/desk"); }) ==
+               "table: service/desk: route/browse goes to it");
+    BOOST_TEST(tests::errorOf([&] { return policy::removeRow(&table, "service/leaf"); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::removeRow(&table, "service/leaf"); }) ==
+               "table: service/leaf: there is no such row");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
