--- a/src/policy/table_rows.cc
+++ b/src/policy/table_rows.cc
@@ -61,8 +61,8 @@
             }};
 }
 
-bool isPathPrefix(const std::string& text) {
-    return text.size() >= 1 && text.front() == '/' && text.back() == '/';
+bool isPrefixOfPaths(const std::string& text) {
+    return !text.empty() && text.front() == '/' && text.back() == '/';
 }
 
 bool isHost(const std::string& text) {
@@ -121,7 +121,7 @@
          [](const Route& it) { return it.prefix(); },
          [](Route* it, const std::string& value) {
              it->set_prefix(value);
-             return isPathPrefix(value);
+             return isPrefixOfPaths(value);
          }},
         {"services", "a service, or services with weights: 'desk:90 browse:10'", "where the requests go", partsText,
          setParts},
@@ -175,6 +175,7 @@
 template <typename Message>
 std::vector<ColumnInfo> infosOf(const std::vector<Column<Message>>& columns) {
     std::vector<ColumnInfo> infos;
+    infos.reserve(columns.size());
     for (const auto& column : columns) {
         infos.push_back({column.name, column.allowed, column.meaning});
     }
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -43,11 +43,11 @@
 /// Each node has an address of its own on loopback, which no outgoing connection takes a port of: such
 /// connections come from 127.0.0.1. The process's id keeps soaks that run side by side apart.
 std::string ipOf(std::size_t number) {
-    constexpr int kFirst = 16;
-    constexpr int kSpread = 200;
+    constexpr int first = 16;
+    constexpr int spread = 200;
     const int process = getpid();
-    return "127." + std::to_string(kFirst + process % kSpread) + "." + std::to_string(process / kSpread % kSpread) +
-           "." + std::to_string(number + 1);
+    return "127." + std::to_string(first + process % spread) + "." + std::to_string(process / spread % spread) + "." +
+           std::to_string(number + 1);
 }
 
 Json routeOf(const char* host, const std::string& path, const std::string& service, bool is_repeatable, int priority) {
