--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -78,7 +78,7 @@
     sidecar::Settings result;
     result.name = settings_.name;
     result.zone = settings_.zone;
-    result.address = settings_.nodes.text();
+    result.address = settings_.nodes_advertised.value_or(settings_.nodes).text();
     result.instance_address = settings_.instance.text();
     result.service = settings_.service;
     result.incarnation = newIncarnation();
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -77,17 +77,19 @@
             [member](const SidecarSettings& settings) { return (settings.*member).text(); }};
 }
 
-Key metricsKey() {
-    return {"listen.metrics", false,
-            [](SidecarSettings& settings, const Placed& placed) -> Result<void> {
-                settings.metrics = parseSocketAddress(placed.text);
-                if (!settings.metrics && !placed.text.empty()) {
+Key optionalAddressKey(const char* name, std::optional<SocketAddress> SidecarSettings::*member) {
+    return {name, false,
+            [name, member](SidecarSettings& settings, const Placed& placed) -> Result<void> {
+                settings.*member = parseSocketAddress(placed.text);
+                if (!(settings.*member) && !placed.text.empty()) {
                     return stepError(kStep, placed.place,
-                                     "listen.metrics: '" + placed.text + "' is not ip:port with an IPv4 number");
+                                     std::string(name) + ": '" + placed.text + "' is not ip:port with an IPv4 number");
                 }
                 return {};
             },
-            [](const SidecarSettings& settings) { return settings.metrics ? settings.metrics->text() : ""; }};
+            [member](const SidecarSettings& settings) {
+                return settings.*member ? (settings.*member)->text() : std::string();
+            }};
 }
 
 Key numberKey(const char* name, double least, double most, const std::function<void(SidecarSettings&, double)>& set,
@@ -121,7 +123,8 @@
         addressKey("listen.nodes", &SidecarSettings::nodes),
         addressKey("listen.heartbeats", &SidecarSettings::heartbeats),
         addressKey("listen.readiness", &SidecarSettings::readiness),
-        metricsKey(),
+        optionalAddressKey("listen.nodes_advertised", &SidecarSettings::nodes_advertised),
+        optionalAddressKey("listen.metrics", &SidecarSettings::metrics),
         addressKey("instance.address", &SidecarSettings::instance),
         addressKey("store.address", &SidecarSettings::store),
         numberKey(
--- a/src/adapters/sidecar_settings.h
+++ b/src/adapters/sidecar_settings.h
@@ -19,6 +19,7 @@
     std::string service;  ///< Of the instance beside the node.
     SocketAddress callers;
     SocketAddress nodes;
+    std::optional<SocketAddress> nodes_advertised;  ///< Told to other nodes in place of `nodes`.
     SocketAddress heartbeats;
     SocketAddress readiness;
     std::optional<SocketAddress> metrics;  ///< Not served if it is not given.
--- /dev/null
+++ b/tests/soak/checks.cc
@@ -0,0 +1,189 @@
+#include "tests/soak/checks.h"
+
+#include <algorithm>
+#include <map>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank::soak {
+
+namespace {
+
+/// What all checks look things up in.
+struct Evidence {
+    const Observations& seen;
+    const CheckBounds& bounds;
+    TimePoint now;
+    std::map<std::string, std::vector<const Run*>> runs;  ///< By request.
+
+    [[nodiscard]] const std::vector<const Run*>& runsOf(const std::string& request) const {
+        static const std::vector<const Run*> none;
+        const auto found = runs.find(request);
+        return found == runs.end() ? none : found->second;
+    }
+};
+
+using Check = void (*)(const Evidence&, std::vector<Breach>*);
+
+bool promisesNotRun(int status) {
+    return status == kHttpServiceUnavailable || status == kHttpTooManyRequests || status == kHttpRequestTimeout;
+}
+
+void checkNotRun(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        if (!request->is_repeatable && promisesNotRun(request->status) && !it.runsOf(request->id).empty()) {
+            out->push_back({"not-run is not run", request->id});
+        }
+    }
+}
+
+void checkAtMostOnce(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        if (!request->is_repeatable && it.runsOf(request->id).size() > 1) {
+            out->push_back({"runs at most once", request->id});
+        }
+    }
+}
+
+void checkOwnAnswer(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        if (request->status == kHttpOk && !request->is_whole) {
+            out->push_back({"own whole answer", request->id});
+        }
+    }
+}
+
+/// A connection that ends soon and before anything has arrived at an instance may not have been
+/// read: a closing entry is free to do that. Only an entry that ends may do more.
+void checkAnswered(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        const auto due = request->sent + request->deadline + it.bounds.answer_slack;
+        const bool has_ended_soon =
+            request->ended != TimePoint{} && request->ended - request->sent < it.bounds.unread_slack;
+        const bool was_read = request->was_taken && (!has_ended_soon || !it.runsOf(request->id).empty());
+        const bool is_open = request->status == 0 && was_read && !request->has_left;
+        if (is_open && it.now > due && !it.seen.wasEnded(request->entry, request->sent, due)) {
+            out->push_back({"every request is answered", request->id + " at node " + std::to_string(request->entry)});
+        }
+    }
+}
+
+void checkAllowedServices(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        for (const auto* run : it.runsOf(request->id)) {
+            const auto& tables = it.seen.tables;
+            const bool is_allowed = std::any_of(tables.begin(), tables.end(), [&](const auto& table) {
+                const auto found = table.services.find(request->route);
+                return found != table.services.end() && found->second == run->service;
+            });
+            if (!is_allowed) {
+                out->push_back({"only allowed services run", request->id + " at " + run->service});
+            }
+        }
+    }
+}
+
+void checkDrained(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& [instance, acknowledged] : it.seen.drained) {
+        const auto found = it.seen.arrivals_by_instance.find(instance);
+        if (found == it.seen.arrivals_by_instance.end()) {
+            continue;
+        }
+        for (const auto& arrival : found->second) {
+            const bool is_late = arrival.at > acknowledged + it.bounds.drain;
+            const auto node = it.seen.node_of_instance.at(instance);
+            if (is_late && !it.seen.wasDisturbed(node, acknowledged, arrival.at)) {
+                out->push_back({"a draining instance gets nothing", arrival.request + " at " + instance});
+            }
+        }
+    }
+}
+
+/// In any window, what arrives past the first of each request stays within ratio and slack.
+void checkRepeats(const Evidence& it, std::vector<Breach>* out) {
+    const auto& bound = it.bounds.repeats;
+    for (const auto& [service, arrivals] : it.seen.arrivals) {
+        std::size_t begin = 0;
+        double first = 0;
+        double repeats = 0;
+        for (const auto& arrival : arrivals) {
+            (arrival.is_first ? first : repeats) += 1;
+            while (arrivals[begin].at <= arrival.at - bound.window) {
+                (arrivals[begin].is_first ? first : repeats) -= 1;
+                ++begin;
+            }
+            if (repeats > bound.ratio * first + bound.slack) {
+                out->push_back({"repeats stay within their bound", service + " at " + arrival.request});
+                break;
+            }
+        }
+    }
+}
+
+/// While nodes are sound, nothing is run by a table that a newer one has replaced for long.
+void checkTables(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        const auto from = std::max(TimePoint{}, request->sent - it.bounds.table - it.bounds.quiet);
+        const auto to = request->sent + request->deadline;
+        if (it.seen.wasDisturbed(request->entry, from, to) || it.seen.wasDisturbed(kStoreNumber, from, to)) {
+            continue;
+        }
+        for (const auto* run : it.runsOf(request->id)) {
+            const bool is_allowed = std::any_of(it.seen.tables.begin(), it.seen.tables.end(), [&](const auto& table) {
+                const auto next = std::find_if(it.seen.tables.begin(), it.seen.tables.end(),
+                                               [&](const auto& other) { return other.version > table.version; });
+                const bool is_replaced =
+                    next != it.seen.tables.end() && next->acknowledged + it.bounds.table < request->sent;
+                const auto found = table.services.find(request->route);
+                return !is_replaced && found != table.services.end() && found->second == run->service;
+            });
+            if (!is_allowed) {
+                out->push_back({"tables are in force in time", request->id + " at " + run->service});
+            }
+        }
+        if (request->status == kHttpNotFound) {
+            out->push_back({"no route is denied", request->id + " " + request->route});
+        }
+    }
+}
+
+/// What is run for a caller that has left ends soon.
+void checkLeft(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& request : it.seen.requests) {
+        if (!request->has_left ||
+            it.seen.anyDisturbed(request->sent - it.bounds.quiet, request->ended + it.bounds.quiet)) {
+            continue;
+        }
+        for (const auto* run : it.runsOf(request->id)) {
+            const auto end = run->ended == TimePoint{} ? it.now : run->ended;
+            if (end > request->ended + it.bounds.leave_slack) {
+                out->push_back({"work ends with its caller", request->id});
+            }
+        }
+    }
+}
+
+void checkExits(const Evidence& it, std::vector<Breach>* out) {
+    for (const auto& what : it.seen.unexpected_exits) {
+        out->push_back({"no process ends by itself", what});
+    }
+}
+
+constexpr Check kChecks[] = {checkNotRun,  checkAtMostOnce, checkOwnAnswer, checkAnswered, checkAllowedServices,
+                             checkDrained, checkRepeats,    checkTables,    checkLeft,     checkExits};
+
+}  // namespace
+
+std::vector<Breach> findBreaches(const Observations& seen, const CheckBounds& bounds, TimePoint now) {
+    Evidence evidence{seen, bounds, now, {}};
+    for (const auto& run : seen.runs) {
+        evidence.runs[run.request].push_back(&run);
+    }
+    std::vector<Breach> breaches;
+    for (const auto check : kChecks) {
+        check(evidence, &breaches);
+    }
+    return breaches;
+}
+
+}  // namespace dewcrank::soak
--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,104 @@
+/// @file
+/// The faults that a soak injects, and when: all from a seed.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tests/soak/callers.h"
+#include "tests/soak/fleet.h"
+
+namespace dewcrank::soak {
+
+/// One fault of a schedule.
+struct PlannedFault {
+    std::string name;
+    Duration at{};  ///< From the start of the load.
+    Duration lasts{};
+    std::size_t node = 0;  ///< Which of them it strikes; kinds that strike the store or all ignore it.
+};
+
+/// Names of all kinds of faults.
+std::vector<std::string> faultNames();
+
+/// Draws a schedule. @param length of the load; the last part of it is left quiet.
+/// @param only names of the kinds to draw from; empty: all.
+std::vector<PlannedFault> drawFaults(RandomSource& random, Duration length, std::size_t nodes,
+                                     const std::vector<std::string>& only);
+
+/// When the last fault of a soak of this length has ended.
+Duration quietFrom(Duration length);
+
+/// Begins and ends faults.
+class FaultInjector {
+public:
+    FaultInjector(adapters::EventLoop& loop, Fleet& fleet, Callers& callers, double usual_rate);
+    void schedule(const std::vector<PlannedFault>& faults);
+
+private:
+    struct Kind;
+    friend std::vector<std::string> faultNames();
+    static const std::vector<Kind>& kinds();
+    void begin(const PlannedFault& fault);
+
+    // Processes of nodes
+    void killNode(std::size_t node);
+    void letNodeStart(std::size_t node);
+    void killMost(std::size_t node);
+    void letAllStart(std::size_t node);
+    void freezeNode(std::size_t node);
+    void thawNode(std::size_t node);
+    void stopNode(std::size_t node);
+    void stopInTurn(std::size_t node);
+    void reloadNode(std::size_t node);
+    // Instances
+    void crashInstance(std::size_t node);
+    void startInstance(std::size_t node);
+    void drainInstance(std::size_t node);
+    void slowInstance(std::size_t node);
+    void failInstance(std::size_t node);
+    void loseAnswers(std::size_t node);
+    void spoilAnswers(std::size_t node);
+    void hangInstance(std::size_t node);
+    void mendInstance(std::size_t node);
+    void moveInstance(std::size_t node);
+    void moveInstanceBack(std::size_t node);
+    // Links
+    void delayNode(std::size_t node);
+    void cutNodeOff(std::size_t node);
+    void cutNodeOneWay(std::size_t node);
+    void mendNodeLink(std::size_t node);
+    void resetNode(std::size_t node);
+    void cutFromStore(std::size_t node);
+    void cutFromStoreOneWay(std::size_t node);
+    void resetFromStore(std::size_t node);
+    void mendStoreLink(std::size_t node);
+    void delayInstance(std::size_t node);
+    void mendInstanceLink(std::size_t node);
+    void resetInstance(std::size_t node);
+    // The store
+    void silenceStore(std::size_t node);
+    void refuseStore(std::size_t node);
+    void throttleStore(std::size_t node);
+    void slowStore(std::size_t node);
+    void loseStoreAnswers(std::size_t node);
+    void forgetHistory(std::size_t node);
+    void mendStore(std::size_t node);
+    // The operator and callers
+    void changeTable(std::size_t node);
+    void changeTableOften(std::size_t node);
+    void burst(std::size_t node);
+    void endBurst(std::size_t node);
+    void resend(std::size_t node);
+    void endResend(std::size_t node);
+    void nothing(std::size_t) {}
+
+    adapters::EventLoop& loop_;
+    Fleet& fleet_;
+    Callers& callers_;
+    double usual_rate_;
+    std::vector<TimerHandle> timers_;
+};
+
+}  // namespace dewcrank::soak
--- /dev/null
+++ b/tests/soak/fleet.cc
@@ -0,0 +1,244 @@
+#include "tests/soak/fleet.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "platform/config_document.h"
+#include "platform/header_names.h"
+#include "src/base/http_status.h"
+
+namespace dewcrank::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const std::string kLoopback = "127.0.0.1";
+constexpr const char* kReadinessPath = "/dewcrank/readiness";
+constexpr const char* kHost = "fleet.example";
+constexpr const char* kInnerHost = "inner.example";
+constexpr const char* kInnerRoute = "/inner/";
+constexpr Duration kLookInterval = 1s;
+constexpr Duration kReadinessTimeout = 900ms;
+constexpr const char* kZones[] = {"north", "east", "south"};
+/// Routes that come with a new table and stay.
+constexpr std::uint64_t kMostExtraRoutes = 20;
+
+/// The services: two that callers ask, which both call a third.
+struct Service {
+    const char* name;
+    Duration work;
+    std::uint32_t slots;
+    bool calls_inner;
+};
+constexpr Service kServices[] = {{"browse", 40ms, 20, true}, {"desk", 60ms, 20, true}, {"leaf", 20ms, 12, false}};
+
+/// A free port of the loopback address. It may be taken by another before it is used.
+Result<adapters::SocketAddress> freeAddress() {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    const bool is_bound =
+        descriptor >= 0 && bind(descriptor, raw, length) == 0 && getsockname(descriptor, raw, &length) == 0;
+    close(descriptor);
+    if (!is_bound) {
+        return stepError("soak.port", kLoopback, "no free port");
+    }
+    return adapters::SocketAddress{kLoopback, ntohs(address.sin_port)};
+}
+
+Json routeOf(const char* host, const std::string& path, const std::string& service, bool is_repeatable, int priority) {
+    return {{"Host", host},       {"PathPrefix", path},      {"Kind", is_repeatable ? "safe" : "unsafe"},
+            {"TimeoutMs", 1500},  {"TargetLatencyMs", 1000}, {"Priority", priority},
+            {"Service", service}, {"MaxAttempts", 2}};
+}
+
+}  // namespace
+
+Fleet::Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed)
+    : loop_(loop),
+      directory_(std::move(directory)),
+      random_(seed),
+      seen_(loop, platform::headerNames()),
+      client_(loop, adapters::HttpLimits{}),
+      store_(loop, random_) {}
+
+// Preparation ------------------------------------------------------------------
+
+Result<void> Fleet::prepare() {
+    BOOST_LEAF_ASSIGN(store_address_, store_.listen({kLoopback, 0}));
+    std::size_t number = 0;
+    for (const auto& service : kServices) {
+        for (const auto* zone : kZones) {
+            auto node = std::make_unique<FleetNode>();
+            node->name = std::string(service.name) + "-" + zone;
+            node->zone = zone;
+            node->instance_options.service = service.name;
+            node->instance_options.zone = zone;
+            node->instance_options.slots = service.slots;
+            node->instance_options.work = service.work;
+            node->instance_options.inner_host = service.calls_inner ? kInnerHost : "";
+            node->instance_options.inner_path = kInnerRoute;
+            nodes_.push_back(std::move(node));
+            BOOST_LEAF_CHECK(prepareNode(number++));
+        }
+    }
+    putTable();
+    std::ofstream list(directory_ + "/nodes.new");
+    for (const auto& node : nodes_) {
+        list << node->name << '\n';
+    }
+    list.close();
+    std::filesystem::rename(directory_ + "/nodes.new", directory_ + "/nodes");
+    look();
+    return {};
+}
+
+Result<void> Fleet::prepareNode(std::size_t number) {
+    auto& node = *nodes_[number];
+    for (auto* address : {&node.callers, &node.nodes, &node.heartbeats, &node.readiness, &node.instance_address}) {
+        BOOST_LEAF_ASSIGN(*address, freeAddress());
+    }
+    node.to_node = std::make_unique<FaultProxy>(loop_, node.nodes);
+    node.to_instance = std::make_unique<FaultProxy>(loop_, node.instance_address);
+    node.to_store = std::make_unique<FaultProxy>(loop_, store_address_);
+    node.instance =
+        std::make_unique<standins::Instance>(loop_, random_, "i" + std::to_string(number), node.heartbeats.text(),
+                                             node.callers.text(), platform::headerNames(), seen_);
+    BOOST_LEAF_AUTO(told, node.to_node->listen({kLoopback, 0}));
+    BOOST_LEAF_AUTO(instance, node.to_instance->listen({kLoopback, 0}));
+    BOOST_LEAF_AUTO(store, node.to_store->listen({kLoopback, 0}));
+    std::ofstream settings(directory_ + "/" + node.name + ".toml");
+    settings << "name = \"" << node.name << "\"\nzone = \"" << node.zone << "\"\nservice = \""
+             << node.instance_options.service << "\"\n[listen]\ncallers = \"" << node.callers.text() << "\"\nnodes = \""
+             << node.nodes.text() << "\"\nnodes_advertised = \"" << told.text() << "\"\nheartbeats = \""
+             << node.heartbeats.text() << "\"\nreadiness = \"" << node.readiness.text()
+             << "\"\n[instance]\naddress = \"" << instance.text() << "\"\nheartbeat_ms = 1000\n[store]\naddress = \""
+             << store.text() << "\"\n[retries]\nratio = " << kRepeats.ratio << "\nslack = " << kRepeats.slack
+             << "\nwindow_s = " << kRepeats.window / 1s << "\n";
+    startInstance(number);
+    return {};
+}
+
+bool Fleet::allTakeCallers() const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [](const auto& node) { return node->readiness_misses == 0; });
+}
+
+// Nodes and instances ------------------------------------------------------------
+
+void Fleet::startInstance(std::size_t number) {
+    auto& node = *nodes_[number];
+    const bool is_started =
+        runOrReport([&] { return node.instance->start(node.instance_address, node.instance_options); },
+                    [](const StepError& error) { std::fprintf(stderr, "%s\n", error.text().c_str()); });
+    if (is_started) {
+        seen_.node_of_instance[node.instance->id()] = number;
+    }
+}
+
+void Fleet::signal(std::size_t number, int signal_number, bool ends) {
+    std::ifstream file(directory_ + "/" + nodes_[number]->name + ".pid");
+    int process = 0;
+    if (!(file >> process) || process <= 1 || ended_.contains(process)) {
+        return;
+    }
+    if (ends) {
+        ended_.insert(process);
+    }
+    ::kill(process, signal_number);
+}
+
+void Fleet::hold(std::size_t number, bool is_held) {
+    const auto file = directory_ + "/" + nodes_[number]->name + ".held";
+    if (is_held) {
+        std::ofstream(file) << "held\n";
+    } else {
+        std::filesystem::remove(file);
+    }
+}
+
+void Fleet::look() {
+    look_timer_ = loop_.startTimer(kLookInterval, [this] { look(); });
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+        askReadiness(number);
+        readExits(*nodes_[number]);
+    }
+}
+
+void Fleet::askReadiness(std::size_t number) {
+    auto& node = *nodes_[number];
+    HttpRequest request;
+    request.method = "GET";
+    request.path = kReadinessPath;
+    node.readiness_probe = client_.send(
+        node.readiness.text(), std::move(request), kReadinessTimeout, [&node](const AttemptResult& result) {
+            const bool is_ready = result.outcome == AttemptOutcome::kAnswered && result.answer.status == kHttpOk;
+            node.readiness_misses = is_ready ? 0 : node.readiness_misses + 1;
+        });
+}
+
+/// An end that this soak has not brought about is one of the node's own.
+void Fleet::readExits(FleetNode& node) {
+    std::ifstream file(directory_ + "/" + node.name + ".exits");
+    int process = 0;
+    int code = 0;
+    std::size_t line = 0;
+    while (file >> process >> code) {
+        if (line++ < node.exits_read) {
+            continue;
+        }
+        ++node.exits_read;
+        if (!ended_.contains(process)) {
+            seen_.onUnexpectedExit(node.name + " ended with " + std::to_string(code));
+        }
+    }
+}
+
+// The table ----------------------------------------------------------------------
+
+/// One route swings between two services with each version, and some versions add a route.
+std::uint64_t Fleet::putTable() {
+    ++table_version_;
+    const std::string swing = table_version_ % 2 == 0 ? "browse" : "desk";
+    std::map<std::string, std::string> services = {{"/work/", "browse"}, {"/sign/", "desk"}, {"/swing/", swing}};
+    for (std::uint64_t extra = 1; extra <= std::min(table_version_ / 2, kMostExtraRoutes); ++extra) {
+        services["/extra-" + std::to_string(extra) + "/"] = "browse";
+    }
+    Json routes = {{"inner", routeOf(kInnerHost, kInnerRoute, "leaf", true, 1)}};
+    caller_routes_.clear();
+    for (const auto& [path, service] : services) {
+        routes["r" + path.substr(1, path.size() - 2)] =
+            routeOf(kHost, path, service, path != "/sign/", path == "/sign/" ? 0 : 2);
+        caller_routes_.push_back(path);
+    }
+    Json table_services;
+    for (const auto& service : kServices) {
+        table_services[service.name] = {{"HealthPath", "/health"}, {"MaxConnections", 200}};
+    }
+    char version[16];
+    std::snprintf(version, sizeof version, "%08llx", static_cast<unsigned long long>(table_version_));
+    store_.put(platform::kConfigKind, platform::kConfigName,
+               {{"Version", version},
+                {"Routes", routes},
+                {"Services", table_services},
+                {"Limits",
+                 {{"MaxHeaderBytes", 16384},
+                  {"MaxBodyBytes", 1048576},
+                  {"HeaderTimeoutMs", 3000},
+                  {"IdleTimeoutMs", 15000}}}});
+    seen_.onTable(table_version_, std::move(services));
+    return table_version_;
+}
+
+}  // namespace dewcrank::soak
--- /dev/null
+++ b/tests/soak/observations.cc
@@ -0,0 +1,77 @@
+#include "tests/soak/observations.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewcrank::soak {
+
+namespace {
+
+bool overlaps(const Disturbance& it, TimePoint from, TimePoint to) {
+    return it.began <= to && (it.ended == TimePoint{} || it.ended >= from);
+}
+
+}  // namespace
+
+CallerRequest& Observations::addRequest(CallerRequest request) {
+    request.version = tables.empty() ? 0 : tables.back().version;
+    requests.push_back(std::make_unique<CallerRequest>(std::move(request)));
+    return *requests.back();
+}
+
+void Observations::onArrival(const std::string& service, const std::string& instance, const HttpRequest& request) {
+    const std::string id(request.headers.get(names_.request_id));
+    const Arrival arrival{clock_.now(), id, seen_.insert(service + " " + id).second};
+    arrivals[service].push_back(arrival);
+    arrivals_by_instance[instance].push_back(arrival);
+}
+
+void Observations::onRunBegan(const std::string& service, const std::string& instance, const std::string& id) {
+    running_[instance + " " + id] = runs.size();
+    runs.push_back({id, service, instance, clock_.now(), {}});
+}
+
+void Observations::onRunEnded(const std::string& instance, const std::string& id) {
+    const auto found = running_.extract(instance + " " + id);
+    if (!found.empty()) {
+        runs[found.mapped()].ended = clock_.now();
+    }
+}
+
+void Observations::onDrainAcknowledged(const std::string& instance) {
+    drained.try_emplace(instance, clock_.now());
+}
+
+void Observations::onTable(std::uint64_t version, std::map<std::string, std::string> services_by_route) {
+    tables.push_back({version, clock_.now(), std::move(services_by_route)});
+}
+
+std::size_t Observations::disturb(std::size_t node, bool ends_process) {
+    auto& all = disturbances_[node];
+    all.push_back({clock_.now(), {}, ends_process});
+    return all.size() - 1;
+}
+
+void Observations::disturbanceEnded(std::size_t node, std::size_t number) {
+    disturbances_[node][number].ended = clock_.now();
+}
+
+bool Observations::wasDisturbed(std::size_t node, TimePoint from, TimePoint to) const {
+    const auto found = disturbances_.find(node);
+    return found != disturbances_.end() && std::any_of(found->second.begin(), found->second.end(),
+                                                       [&](const Disturbance& it) { return overlaps(it, from, to); });
+}
+
+bool Observations::anyDisturbed(TimePoint from, TimePoint to) const {
+    return std::any_of(disturbances_.begin(), disturbances_.end(),
+                       [&](const auto& entry) { return wasDisturbed(entry.first, from, to); });
+}
+
+bool Observations::wasEnded(std::size_t node, TimePoint from, TimePoint to) const {
+    const auto found = disturbances_.find(node);
+    return found != disturbances_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](const Disturbance& it) { return it.ends_process && overlaps(it, from, to); });
+}
+
+}  // namespace dewcrank::soak
--- /dev/null
+++ b/tests/standins/instance.cc
@@ -0,0 +1,236 @@
+#include "tests/standins/instance.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/base/http_status.h"
+
+namespace dewcrank::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kCallerTimeout = 30s;
+constexpr Duration kPostTimeout = 1s;
+/// Serves on for so long after a drain was acknowledged.
+constexpr Duration kDrainTime = 2500ms;
+/// Ends without an acknowledgement after so long.
+constexpr Duration kLongestDrain = 6s;
+constexpr Duration kInnerMargin = 20ms;
+constexpr double kLeastWorkFactor = 0.5;  ///< Work is uniform from this to its mirror above 1.
+
+std::int64_t millisecondsIn(std::string_view text) {
+    return std::strtoll(std::string(text).c_str(), nullptr, 10);
+}
+
+}  // namespace
+
+Instance::Instance(adapters::EventLoop& loop, RandomSource& random, std::string name, std::string node_heartbeats,
+                   std::string node_callers, const HeaderNames& names, InstanceListener& listener)
+    : loop_(loop),
+      random_(random),
+      name_(std::move(name)),
+      node_heartbeats_(std::move(node_heartbeats)),
+      node_callers_(std::move(node_callers)),
+      names_(names),
+      listener_(listener),
+      client_(loop, adapters::HttpLimits{}) {}
+
+Instance::~Instance() {
+    crash();
+}
+
+Result<void> Instance::start(const adapters::SocketAddress& address, const InstanceOptions& options) {
+    crash();
+    options_ = options;
+    id_ = name_ + "-" + std::to_string(++starts_);
+    sequence_ = 0;
+    is_draining_ = false;
+    drain_acknowledged_ = false;
+    server_ = std::make_unique<adapters::HttpServer>(
+        loop_, adapters::HttpLimits{}, kCallerTimeout,
+        [this](HttpRequest request, const Exchange& exchange) { onRequest(std::move(request), exchange); });
+    BOOST_LEAF_CHECK(server_->listen(address));
+    beat();
+    return {};
+}
+
+void Instance::crash() {
+    beat_timer_.reset();
+    leave_timer_.reset();
+    post_.reset();
+    queue_.clear();
+    for (auto& [number, run] : std::exchange(runs_, {})) {
+        if (run->is_running) {
+            listener_.onRunEnded(id_, run->id);
+        }
+    }
+    running_ = 0;
+    server_.reset();
+}
+
+// Requests ---------------------------------------------------------------------
+
+bool Instance::refuses(const HttpRequest& request, const Exchange& exchange) {
+    const auto expected = request.headers.get(names_.expected_instance);
+    const bool is_full = running_ >= options_.slots && queue_.size() >= options_.longest_queue;
+    if (!is_full && (expected.empty() || expected == id_)) {
+        return false;
+    }
+    HttpAnswer refusal;
+    refusal.status = is_full ? kHttpServiceUnavailable : kHttpMisdirected;
+    refusal.headers.set(names_.not_executed, "1");
+    refusal.headers.set(names_.instance_id, id_);
+    exchange->reply(std::move(refusal));
+    return true;
+}
+
+void Instance::onRequest(HttpRequest request, const Exchange& exchange) {
+    listener_.onArrival(options_.service, id_, request);
+    if (refuses(request, exchange)) {
+        return;
+    }
+    const auto number = ++last_number_;
+    auto run = std::make_unique<Run>();
+    run->id = request.headers.get(names_.request_id);
+    run->request = std::move(request);
+    run->exchange = exchange;
+    runs_[number] = std::move(run);
+    exchange->onCallerLeft([this, number] { forget(number); });
+    queue_.push_back(number);
+    startNext();
+}
+
+void Instance::startNext() {
+    while (running_ < options_.slots && !queue_.empty()) {
+        const auto number = queue_.front();
+        queue_.pop_front();
+        if (runs_.contains(number)) {
+            begin(number);
+        }
+    }
+}
+
+void Instance::begin(std::uint64_t number) {
+    auto& run = *runs_.at(number);
+    ++running_;
+    run.is_running = true;
+    listener_.onRunBegan(options_.service, id_, run.id);
+    if (faults_.hangs) {
+        return;
+    }
+    if (options_.inner_host.empty()) {
+        work(number);
+    } else {
+        callInner(number);
+    }
+}
+
+/// A call of the run's own: it ends at the run's deadline.
+void Instance::callInner(std::uint64_t number) {
+    auto& run = *runs_.at(number);
+    const auto left = std::chrono::milliseconds(millisecondsIn(run.request.headers.get(names_.deadline_ms)));
+    HttpRequest call;
+    call.method = "GET";
+    call.path = options_.inner_path;
+    call.headers.set("Host", options_.inner_host);
+    call.headers.set(names_.request_id, run.id + "+" + id_);
+    call.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(left - kInnerMargin)));
+    run.inner = client_.send(node_callers_, std::move(call), left, [this, number](const AttemptResult& result) {
+        const bool is_served = result.outcome == AttemptOutcome::kAnswered && result.answer.status == kHttpOk;
+        if (is_served) {
+            work(number);
+        } else {
+            end(number, kHttpInternalServerError);
+        }
+    });
+}
+
+void Instance::work(std::uint64_t number) {
+    const double factor = (kLeastWorkFactor + random_.unit()) * faults_.slowness;
+    const auto time = Duration(static_cast<std::int64_t>(static_cast<double>(options_.work.count()) * factor));
+    runs_.at(number)->timer = loop_.startTimer(time, [this, number] { end(number, kHttpOk); });
+}
+
+void Instance::end(std::uint64_t number, int status) {
+    const auto exchange = runs_.at(number)->exchange;
+    const auto id = runs_.at(number)->id;
+    const bool is_lost = random_.unit() < faults_.lost_answers;
+    const bool is_error = random_.unit() < faults_.errors;
+    forget(number);
+    if (is_lost) {
+        exchange->abort();
+        return;
+    }
+    answer(exchange, is_error ? kHttpInternalServerError : status, id, random_.unit() >= faults_.unsigned_answers);
+}
+
+/// The run has ended, or whoever asked for it has gone.
+void Instance::forget(std::uint64_t number) {
+    const auto ended = runs_.extract(number);
+    if (!ended.empty() && ended.mapped()->is_running) {
+        --running_;
+        listener_.onRunEnded(id_, ended.mapped()->id);
+        startNext();
+    }
+}
+
+void Instance::answer(const Exchange& exchange, int status, const std::string& id, bool is_signed) {
+    HttpAnswer message;
+    message.status = status;
+    message.headers.set(names_.request_id, id);
+    if (is_signed) {
+        message.headers.set(names_.server_stamp, "stamp-" + id_);
+    }
+    message.body = id + " " + id_;
+    exchange->reply(std::move(message));
+}
+
+// Heartbeats -------------------------------------------------------------------
+
+void Instance::beat() {
+    beat_timer_ = loop_.startTimer(options_.heartbeat_interval, [this] { beat(); });
+    const Json body = {
+        {"Address", name_},
+        {"Info",
+         {{"Service", options_.service}, {"Version", "v1"}, {"Zone", options_.zone}, {"Slots", options_.slots}}},
+        {"Status", {{"State", is_draining_ ? "draining" : "ready"}, {"CallSeq", ++sequence_}, {"ColdLeftMs", 0}}}};
+    const bool says_draining = is_draining_;
+    post("/dewcrank/Instances.Heartbeat/" + id_, body.dump(), [this, says_draining](bool is_acknowledged) {
+        if (says_draining && is_acknowledged && !drain_acknowledged_) {
+            drain_acknowledged_ = true;
+            listener_.onDrainAcknowledged(id_);
+            leave_timer_ = loop_.startTimer(kDrainTime, [this] { leave(); });
+        }
+    });
+}
+
+void Instance::post(const std::string& path, const std::string& body, std::function<void(bool)> done) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.set("Content-Type", "application/json");
+    request.body = body;
+    post_ = client_.send(node_heartbeats_, std::move(request), kPostTimeout,
+                         [done = std::move(done)](const AttemptResult& result) {
+                             done(result.outcome == AttemptOutcome::kAnswered && result.answer.status == kHttpOk);
+                         });
+}
+
+void Instance::drain() {
+    if (!isUp() || is_draining_) {
+        return;
+    }
+    is_draining_ = true;
+    leave_timer_ = loop_.startTimer(kLongestDrain, [this] { leave(); });
+    beat();
+}
+
+void Instance::leave() {
+    beat_timer_.reset();
+    post("/dewcrank/Instances.Leave/" + id_, "{}", [](bool) {});
+    leave_timer_ = loop_.startTimer(kPostTimeout, [this] { crash(); });
+}
+
+}  // namespace dewcrank::standins
