Learn the calls of each run from a sample with a deadline of its own

Ruled out: the levels: they stood for what arrived. Change: a small sample of runs is handed a deadline shorter than the usual one of the calls below, still three times the route's mean time, and unlike that of any other run; its calls are recognised one by one and counted. Calls take over from their run, or from the mean of what runs, how likely it is a repeat; relays count them so in their budgets. Graph, budget, admission and usual deadlines stand in src/decision/ now.

--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -17,7 +17,7 @@
 constexpr Duration kRestartPause = 500ms;
 constexpr std::uint32_t kTimeoutMs = 1500;
 constexpr std::uint32_t kObjectiveMs = 1000;
-constexpr retry::RepeatBound kRepeats{0.05, 12, 10s};
+constexpr decision::RepeatBound kRepeats{0.05, 12, 10s};
 constexpr Duration kReadinessInterval = 1s;
 /// After a caller has left, or a drain was acknowledged, work may go on for this long.
 constexpr Duration kGrace = 500ms;
--- a/src/adapters/sidecar_settings.h
+++ b/src/adapters/sidecar_settings.h
@@ -8,7 +8,7 @@
 #include "src/adapters/socket_address.h"
 #include "src/base/error.h"
 #include "src/base/time.h"
-#include "src/retry/repeat_budget.h"
+#include "src/decision/repeat_budget.h"
 
 namespace dewcrank::adapters {
 
@@ -26,7 +26,7 @@
     SocketAddress instance;
     SocketAddress store;
     Duration heartbeat_interval = 1500ms;
-    retry::RepeatBound repeats{0.1, 10, 10s};
+    decision::RepeatBound repeats{0.1, 10, 10s};
     Duration stop_grace = 6s;
 };
 
--- a/src/entry/admission.cc
+++ b/src/decision/admission.cc
@@ -1,8 +1,8 @@
-#include "src/entry/admission.h"
+#include "src/decision/admission.h"
 
 #include <algorithm>
 
-namespace dewcrank::entry {
+namespace dewcrank::decision {
 
 namespace {
 /// The counts of arrivals are multiplied by this once an interval: a memory of two seconds.
@@ -96,4 +96,4 @@
     return least;
 }
 
-}  // namespace dewcrank::entry
+}  // namespace dewcrank::decision
--- a/src/entry/admission.h
+++ b/src/decision/admission.h
@@ -13,7 +13,7 @@
 #include "src/ports/clock.h"
 #include "src/ports/random_source.h"
 
-namespace dewcrank::entry {
+namespace dewcrank::decision {
 
 /// The service of which least is to be asked, among those
 /// that a route's requests need, as a relay reports it.
@@ -72,4 +72,4 @@
     std::map<std::string, Control> controls_;         ///< By bottleneck.
 };
 
-}  // namespace dewcrank::entry
+}  // namespace dewcrank::decision
--- a/src/retry/repeat_budget.cc
+++ b/src/decision/repeat_budget.cc
@@ -1,8 +1,8 @@
-#include "src/retry/repeat_budget.h"
+#include "src/decision/repeat_budget.h"
 
 #include <algorithm>
 
-namespace dewcrank::retry {
+namespace dewcrank::decision {
 
 namespace {
 constexpr double kMargin = 0.5;
@@ -20,8 +20,10 @@
     return seconds_.back();
 }
 
-void RepeatBudget::onFirst(TimePoint now) {
-    ++current(now).first;
+void RepeatBudget::onFirst(TimePoint now, double repeat_share) {
+    auto& present = current(now);
+    present.first += 1 - repeat_share;
+    present.repeats += repeat_share;
 }
 
 bool RepeatBudget::tryRepeat(TimePoint now, std::size_t relays) {
@@ -36,8 +38,8 @@
     if (repeats + 1 > kMargin * (bound_.ratio * first + part)) {
         return false;
     }
-    ++present.repeats;
+    present.repeats += 1;
     return true;
 }
 
-}  // namespace dewcrank::retry
+}  // namespace dewcrank::decision
--- a/src/retry/repeat_budget.h
+++ b/src/decision/repeat_budget.h
@@ -7,7 +7,7 @@
 
 #include "src/base/time.h"
 
-namespace dewcrank::retry {
+namespace dewcrank::decision {
 
 /// The bound for one service, over any window: repeats <= ratio * first requests + slack.
 struct RepeatBound {
@@ -22,15 +22,17 @@
 class RepeatBudget {
 public:
     explicit RepeatBudget(RepeatBound bound) : bound_(bound) {}
-    void onFirst(TimePoint now);
+    /// A request that is no repeat itself. @param repeat_share how likely it is made for a run that is
+    /// one: to that part it counts as a repeat here as well.
+    void onFirst(TimePoint now, double repeat_share);
     /// Takes one repeat. @param relays how many share the slack. @return false if none is left.
     bool tryRepeat(TimePoint now, std::size_t relays);
 
 private:
     struct Second {
         std::int64_t number = 0;
-        std::uint32_t first = 0;
-        std::uint32_t repeats = 0;
+        double first = 0;
+        double repeats = 0;
     };
     Second& current(TimePoint now);
 
@@ -38,4 +40,4 @@
     std::deque<Second> seconds_;
 };
 
-}  // namespace dewcrank::retry
+}  // namespace dewcrank::decision
--- a/src/relay/usual_deadlines.cc
+++ b/src/decision/usual_deadlines.cc
@@ -1,8 +1,8 @@
-#include "src/relay/usual_deadlines.h"
+#include "src/decision/usual_deadlines.h"
 
 #include <algorithm>
 
-namespace dewcrank::relay {
+namespace dewcrank::decision {
 
 namespace {
 
@@ -24,4 +24,9 @@
     return static_cast<double>(given.count()) < kFullShare * static_cast<double>(usual.count());
 }
 
-}  // namespace dewcrank::relay
+Duration UsualDeadlines::usual(const std::string& route) const {
+    const auto found = longest_.find(route);
+    return found == longest_.end() ? Duration::zero() : std::max(found->second.present, found->second.former);
+}
+
+}  // namespace dewcrank::decision
--- a/src/relay/usual_deadlines.h
+++ b/src/decision/usual_deadlines.h
@@ -7,7 +7,7 @@
 
 #include "src/base/time.h"
 
-namespace dewcrank::relay {
+namespace dewcrank::decision {
 
 /// A caller that asks again under a new id gives the time that it has left, and a call made for
 /// another request ends with that: both are less than their route's usual time, which is the
@@ -16,6 +16,8 @@
 public:
     /// Notes a request. @return true if it gives less than is usual on its route.
     bool isShortened(TimePoint now, const std::string& route, Duration given);
+    /// The usual time of a route; zero if none was given yet.
+    [[nodiscard]] Duration usual(const std::string& route) const;
 
 private:
     /// The longest deadlines of two spans of time, so that one that is not given any more counts
@@ -28,4 +30,4 @@
     std::map<std::string, Longest> longest_;  ///< By route.
 };
 
-}  // namespace dewcrank::relay
+}  // namespace dewcrank::decision
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -66,6 +66,7 @@
     request.priority = plan_.route->priority();
     request.deadline = plan_.deadline - services_.knobs.relay_margin;
     request.longest_wait = share;
+    request.lineage = plan_.lineage;
     return request;
 }
 
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -48,6 +48,7 @@
     std::string service;
     TimePoint deadline{};
     Duration caller_deadline{};  ///< The time that the caller gives.
+    decision::Lineage lineage;   ///< Taken over from the run that it is a call of.
 };
 
 /// What calls use of their node. Outlives every call.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -111,7 +111,7 @@
         return number;
     }
     if (!running.request.is_repeat) {
-        repeats_.onFirst(clock_.now());
+        repeats_.onFirst(clock_.now(), running.request.lineage.repeat_share);
     }
     enterQueue(number);
     return number;
@@ -182,11 +182,14 @@
 void RelayService::send(Number number) {
     auto& running = *running_[number];
     auto request = std::move(running.request.request);
-    const auto remaining = running.request.deadline - clock_.now();
+    running.sent = clock_.now();
+    auto lineage = running.request.lineage;
+    lineage.repeat_share = running.request.is_repeat ? 1 : lineage.repeat_share;
+    auto deadline = running.request.deadline;
+    running.run = call_graph_.onRunBegan(running.sent, running.request.route, lineage, &deadline);
+    const auto remaining = deadline - running.sent;
     request.headers.set(names_.expected_instance, running.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(remaining)));
-    running.sent = clock_.now();
-    call_graph_.onRunBegan(running.sent, running.request.route, running.request.deadline);
     running.attempt =
         instances_.send(instance_address_, std::move(request), remaining,
                         [this, number](AttemptResult result) { onAttemptEnded(number, std::move(result)); });
@@ -249,16 +252,16 @@
     return judged;
 }
 
-void RelayService::onRunEnded(const Running& running) {
-    if (running.sent != TimePoint{}) {
-        call_graph_.onRunEnded(running.request.route, running.request.deadline);
+void RelayService::onRunEnded(const Running& running, bool is_whole) {
+    if (running.run != 0) {
+        call_graph_.onRunEnded(clock_.now(), running.run, is_whole);
     }
 }
 
 void RelayService::finish(Number number, RelayResult result) {
     auto ended = running_.extract(number);
     auto& running = *ended.mapped();
-    onRunEnded(running);
+    onRunEnded(running, result.outcome == RelayOutcome::kAnswered && isSuccess(result.answer.status));
     if (running.is_let_in) {
         const bool is_measured = result.outcome == RelayOutcome::kAnswered;
         const auto time = clock_.now() - running.sent;
@@ -279,7 +282,7 @@
         return;
     }
     auto& running = *cancelled.mapped();
-    onRunEnded(running);
+    onRunEnded(running, false);
     if (running.ticket != 0) {
         queue_.cancel(running.ticket);
     }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -12,16 +12,16 @@
 #include "src/base/header_names.h"
 #include "src/base/http_message.h"
 #include "src/base/weakening.h"
+#include "src/decision/call_graph.h"
+#include "src/decision/repeat_budget.h"
+#include "src/decision/usual_deadlines.h"
 #include "src/instance/local_instance.h"
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
-#include "src/relay/call_graph.h"
 #include "src/relay/caller_census.h"
 #include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
-#include "src/relay/usual_deadlines.h"
-#include "src/retry/repeat_budget.h"
 
 namespace dewcrank::relay {
 
@@ -35,6 +35,7 @@
     std::uint32_t priority = 0;   ///< 0 is the most urgent.
     TimePoint deadline{};         ///< The instance must have answered by then.
     Duration longest_wait{};      ///< In the queue; inner calls may wait longer.
+    decision::Lineage lineage;    ///< Taken over from the run that it is a call of.
 };
 
 /// How a relayed request ended.
@@ -77,7 +78,7 @@
 /// Constants of a relay.
 struct RelayKnobs {
     QueueKnobs queue;
-    retry::RepeatBound repeats;
+    decision::RepeatBound repeats;
     /// Less time than this left: the request is not sent.
     Duration least_remaining = 5ms;
     /// Inner calls may wait for this part of the time that they have left: what was done for
@@ -88,7 +89,7 @@
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     LevelKnobs level;
-    CallGraphKnobs call_graph;
+    decision::CallGraphKnobs call_graph;
     /// One slot in so many is left free, and at least one of an instance with so many slots.
     std::uint32_t free_slot_in = 16;
     std::uint32_t least_slots_to_leave_free = 8;
@@ -120,7 +121,7 @@
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
     [[nodiscard]] const DemandLevel& level() const { return level_; }
     /// The calls that the instance makes, by the routes that it serves.
-    [[nodiscard]] CallGraph& callGraph() { return call_graph_; }
+    [[nodiscard]] decision::CallGraph& callGraph() { return call_graph_; }
 
 private:
     struct Running {
@@ -130,6 +131,7 @@
         std::uint64_t ticket = 0;
         bool is_let_in = false;
         TimePoint sent{};
+        decision::CallGraph::RunNumber run = 0;  ///< 0 before it was sent.
         AttemptHandle attempt;
         TimerHandle refusal;
     };
@@ -144,7 +146,7 @@
     void onAttemptEnded(Number number, AttemptResult result);
     RelayResult judge(const Running& running, AttemptResult result);
     RelayResult judgeAnswer(const Running& running, HttpAnswer answer);
-    void onRunEnded(const Running& running);
+    void onRunEnded(const Running& running, bool is_whole);
     void finish(Number number, RelayResult result);
 
     Clock& clock_;
@@ -155,11 +157,11 @@
     std::string instance_address_;
     RelayKnobs knobs_;
     InstanceQueue queue_;
-    retry::RepeatBudget repeats_;
+    decision::RepeatBudget repeats_;
     CallerCensus census_;
     DemandLevel level_;
-    CallGraph call_graph_;
-    UsualDeadlines deadlines_;
+    decision::CallGraph call_graph_;
+    decision::UsualDeadlines deadlines_;
     std::size_t relay_count_ = 1;
     bool is_stopping_ = false;
     Number last_number_ = 0;
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -1,5 +1,7 @@
 #include "src/relay/relay_wire.h"
 
+#include <algorithm>
+
 #include "src/base/field_list.h"
 #include "src/base/http_status.h"
 
@@ -8,13 +10,22 @@
 namespace {
 
 /// Of a request: sender, its table's version, instance, route, priority, is a repeat, is the last
-/// choice, microseconds left, microseconds that it may wait.
+/// choice, microseconds left, microseconds that it may wait, repeat share and requests represented in
+/// thousandths.
 constexpr std::string_view kCall = "dewcrank-relay-call";
 /// Of an answer: sender, its table's version, outcome, reason, was offered, running, waiting, limit,
 /// mean time in microseconds, is inner, bottleneck, level in thousandths, failed below.
 constexpr std::string_view kResult = "dewcrank-relay-result";
 constexpr double kPermille = 1000;
 
+std::int64_t inThousandths(double value) {
+    return static_cast<std::int64_t>(value * kPermille);
+}
+
+double fromThousandths(std::int64_t number) {
+    return static_cast<double>(number) / kPermille;
+}
+
 RelayPeer readPeer(FieldReader* fields) {
     RelayPeer peer;
     peer.name = fields->text();
@@ -53,6 +64,7 @@
     fields.add(request.instance).add(request.route).add(request.priority);
     fields.add(request.is_repeat ? 1 : 0).add(request.is_last_choice ? 1 : 0);
     fields.add((request.deadline - now).count()).add(request.longest_wait.count());
+    fields.add(inThousandths(request.lineage.repeat_share)).add(inThousandths(request.lineage.represents));
     auto message = std::move(request.request);
     message.headers.set(kCall, fields.take());
     return message;
@@ -73,6 +85,8 @@
     relayed.is_last_choice = fields.number() != 0;
     relayed.deadline = now + Duration(fields.number());
     relayed.longest_wait = Duration(fields.number());
+    relayed.lineage.repeat_share = std::clamp(fromThousandths(fields.number()), 0.0, 1.0);
+    relayed.lineage.represents = std::max(1.0, fromThousandths(fields.number()));
     request.headers.removePrefix(kRelayHeaderPrefix);
     relayed.request = std::move(request);
     return received;
@@ -85,7 +99,7 @@
     fields.add(result.was_offered ? 1 : 0);
     write(&fields, result.load);
     fields.add(result.is_inner ? 1 : 0).add(result.bottleneck);
-    fields.add(static_cast<std::int64_t>(result.level * kPermille));
+    fields.add(inThousandths(result.level));
     fields.add(result.failed_below ? 1 : 0);
     auto answer = std::move(result.answer);
     if (result.outcome != RelayOutcome::kAnswered) {
@@ -114,7 +128,7 @@
     result.has_load = true;
     result.is_inner = fields.number() != 0;
     result.bottleneck = fields.text();
-    result.level = static_cast<double>(fields.number()) / kPermille;
+    result.level = fromThousandths(fields.number());
     result.failed_below = fields.number() != 0;
     answer.headers.removePrefix(kRelayHeaderPrefix);
     result.answer = std::move(answer);
--- a/src/sidecar/inner_calls.cc
+++ b/src/sidecar/inner_calls.cc
@@ -7,11 +7,11 @@
 constexpr double kReportWeight = 0.2;
 }  // namespace
 
-InnerCalls::InnerCalls(Clock& clock, relay::CallGraph& graph, Duration memory)
+InnerCalls::InnerCalls(Clock& clock, decision::CallGraph& graph, Duration memory)
     : clock_(clock), graph_(graph), memory_(memory) {}
 
-void InnerCalls::onCall(const std::string& route, Duration given) {
-    graph_.onCall(clock_.now(), route, given);
+decision::Lineage InnerCalls::onCall(const std::string& route, Duration given) {
+    return graph_.onCall(clock_.now(), route, given);
 }
 
 void InnerCalls::onFailed(const std::string& route) {
@@ -20,7 +20,7 @@
     }
 }
 
-void InnerCalls::onReport(const std::string& route, bool is_inner, const entry::Bottleneck& bottleneck) {
+void InnerCalls::onReport(const std::string& route, bool is_inner, const decision::Bottleneck& bottleneck) {
     if (!is_inner) {
         below_.erase(route);
         return;
@@ -34,10 +34,11 @@
 
 bool InnerCalls::isOverloaded(const std::string& route) const {
     const auto found = below_.find(route);
-    return found != below_.end() && isRecent(found->second) && found->second.bottleneck.level < entry::kUnloadedLevel;
+    return found != below_.end() && isRecent(found->second) &&
+           found->second.bottleneck.level < decision::kUnloadedLevel;
 }
 
-entry::Bottleneck InnerCalls::leastOf(const std::string& route, entry::Bottleneck own) const {
+decision::Bottleneck InnerCalls::leastOf(const std::string& route, decision::Bottleneck own) const {
     for (const auto& [callee, it] : below_) {
         if (isRecent(it) && it.bottleneck.level < own.level && graph_.depends(route, callee)) {
             own = it.bottleneck;
--- a/src/sidecar/inner_calls.h
+++ b/src/sidecar/inner_calls.h
@@ -6,9 +6,9 @@
 #include <map>
 #include <string>
 
-#include "src/entry/admission.h"
+#include "src/decision/admission.h"
+#include "src/decision/call_graph.h"
 #include "src/ports/clock.h"
-#include "src/relay/call_graph.h"
 
 namespace dewcrank::sidecar {
 
@@ -17,32 +17,33 @@
 public:
     /// @param memory how long a report counts.
     /// @param graph which of the instance's routes make which calls.
-    InnerCalls(Clock& clock, relay::CallGraph& graph, Duration memory);
+    InnerCalls(Clock& clock, decision::CallGraph& graph, Duration memory);
 
     /// The instance has made a call. @param given the time that it gives.
-    void onCall(const std::string& route, Duration given);
+    /// @return what it takes over from the request that it is made for.
+    decision::Lineage onCall(const std::string& route, Duration given);
     /// A call that was answered, of any route, has failed.
     void onFailed(const std::string& route);
     /// A relay has reported on a call. @param is_inner it takes the route for an inner one.
-    void onReport(const std::string& route, bool is_inner, const entry::Bottleneck& bottleneck);
+    void onReport(const std::string& route, bool is_inner, const decision::Bottleneck& bottleneck);
 
     [[nodiscard]] bool isInner(const std::string& route) const { return below_.contains(route); }
     /// True if less than all calls of an inner route are to be made.
     [[nodiscard]] bool isOverloaded(const std::string& route) const;
     /// The given bottleneck, or that of an inner call which requests of `route` make, whichever is
     /// to be asked less.
-    [[nodiscard]] entry::Bottleneck leastOf(const std::string& route, entry::Bottleneck own) const;
+    [[nodiscard]] decision::Bottleneck leastOf(const std::string& route, decision::Bottleneck own) const;
 
 private:
     /// What relays report of one inner route; the level is a moving average.
     struct Below {
-        entry::Bottleneck bottleneck;
+        decision::Bottleneck bottleneck;
         TimePoint reported{};
     };
     [[nodiscard]] bool isRecent(const Below& below) const { return clock_.now() - below.reported < memory_; }
 
     Clock& clock_;
-    relay::CallGraph& graph_;
+    decision::CallGraph& graph_;
     Duration memory_;
     std::map<std::string, Below> below_;  ///< By inner route; just those that relays take for inner ones.
 };
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -7,7 +7,7 @@
 #include "src/base/header_names.h"
 #include "src/base/time.h"
 #include "src/base/weakening.h"
-#include "src/entry/admission.h"
+#include "src/decision/admission.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
@@ -22,7 +22,7 @@
     fleet::FailureDetectorKnobs failure_detector;
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
-    entry::AdmissionKnobs admission;
+    decision::AdmissionKnobs admission;
     relay::RelayKnobs relay;
     /// An instance that is silent for longer counts as unknown.
     Duration longest_silence = 8s;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -165,7 +165,7 @@
     const auto number = ++last_call_;
     auto planned = plan(std::move(request), route);
     if (inner_calls_.isInner(route->name())) {
-        inner_calls_.onCall(route->name(), planned.caller_deadline);
+        planned.lineage = inner_calls_.onCall(route->name(), planned.caller_deadline);
     }
     const bool is_admitted = isAdmitted(planned);
     auto call = std::make_unique<entry::EntryCall>(
@@ -232,7 +232,7 @@
 
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
     const auto& route = plan.route->name();
-    return inner_calls_.isOverloaded(route) || admission_.levelOf(route) < entry::kUnloadedLevel;
+    return inner_calls_.isOverloaded(route) || admission_.levelOf(route) < decision::kUnloadedLevel;
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
@@ -240,7 +240,7 @@
     if (result.bottleneck.empty()) {
         addBottleneck(route, &result);  // The own relay's.
     }
-    const entry::Bottleneck bottleneck{result.bottleneck, result.level};
+    const decision::Bottleneck bottleneck{result.bottleneck, result.level};
     inner_calls_.onReport(route, result.is_inner, bottleneck);
     if (!result.is_inner) {
         admission_.onReport(route, bottleneck);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "src/entry/admission.h"
+#include "src/decision/admission.h"
+#include "src/decision/usual_deadlines.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
 #include "src/fleet/failure_detector.h"
@@ -24,7 +25,6 @@
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
-#include "src/relay/usual_deadlines.h"
 #include "src/sidecar/inner_calls.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
@@ -84,7 +84,7 @@
     [[nodiscard]] policy::RouteTable& table() { return table_; }
     [[nodiscard]] const fleet::NodeDirectory& directory() const { return directory_; }
     [[nodiscard]] const policy::RouteTable& table() const { return table_; }
-    [[nodiscard]] const entry::Admission& admission() const { return admission_; }
+    [[nodiscard]] const decision::Admission& admission() const { return admission_; }
     /// Emitted with each call of this entry that has ended.
     sigc::signal<void(const entry::EntryReport&)>& signalCallEnded() { return signal_call_ended_; }
     [[nodiscard]] const Counters& counters() const { return counters_; }
@@ -121,10 +121,10 @@
     relay::RelayService relay_;
     InnerCalls inner_calls_;
     entry::RelaySelector selector_;
-    entry::Admission admission_;
+    decision::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
-    relay::UsualDeadlines deadlines_;
+    decision::UsualDeadlines deadlines_;
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
     std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
--- a/tests/unit/entry/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -1,4 +1,4 @@
-#include "src/entry/admission.h"
+#include "src/decision/admission.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
@@ -35,7 +35,7 @@
     static constexpr std::uint32_t kRepeat = 9;
     tests::VirtualTime time;
     adapters::SeededRandom random{1};
-    entry::Admission admission{time.clock, random, {}};
+    decision::Admission admission{time.clock, random, {}};
 };
 
 }  // namespace
--- /dev/null
+++ b/tests/unit/decision/call_graph_test.cc
@@ -0,0 +1,173 @@
+#include "src/decision/call_graph.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "src/adapters/seeded_random.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+/// Calls that a route's runs make, one after the other.
+struct Calls {
+    std::string callee;
+    int times = 0;
+    Duration usual{};       ///< The deadline that they give.
+    double fail_share = 0;  ///< A run one of whose calls fails ends there.
+};
+
+/// A route of the instance: how often it is asked, what its callers give, how long it runs.
+struct Route {
+    std::string name;
+    double per_second = 0;
+    Duration deadline{};
+    Duration time{};
+    std::vector<Calls> calls;
+    double repeat_share = 0;
+};
+
+struct GraphFixture {
+    Duration exponential(double per_second) {
+        return Duration(static_cast<std::int64_t>(-std::log(1 - random.unit()) / per_second * 1e6));
+    }
+    void arrive(const Route& route) {
+        time.queue.schedule(time.queue.now() + exponential(route.per_second), nullptr, [this, route] {
+            run(route);
+            arrive(route);
+        });
+    }
+    /// A call gives its usual time or what its run has left, in whole milliseconds, and arrives a
+    /// moment later.
+    void run(const Route& route) {
+        std::vector<Calls> steps;
+        for (const auto& calls : route.calls) {
+            steps.insert(steps.end(), static_cast<std::size_t>(calls.times), calls);
+        }
+        const auto began = time.queue.now();
+        auto deadline = began + route.deadline;
+        const auto number = graph.onRunBegan(began, route.name, {route.repeat_share, 1}, &deadline);
+        BOOST_TEST((deadline <= began + route.deadline));
+        // Ample time by the mean that was seen, which is not quite the nominal one.
+        BOOST_TEST((2 * (deadline - began) >= 5 * route.time || deadline == began + route.deadline));
+        step(number, deadline, steps, 0, route.time / static_cast<int>(steps.size() + 1));
+    }
+    void step(std::uint64_t number, TimePoint deadline, const std::vector<Calls>& steps, std::size_t next,
+              Duration pause) {
+        const double spread = 0.5 + random.unit();
+        const auto at = time.queue.now() + std::chrono::duration_cast<Duration>(pause * spread);
+        time.queue.schedule(at, nullptr, [this, number, deadline, steps, next, pause] {
+            if (next == steps.size()) {
+                graph.onRunEnded(time.queue.now(), number, true);
+                return;
+            }
+            const auto& call = steps[next];
+            const auto left = std::chrono::milliseconds(toMilliseconds(deadline - time.queue.now()));
+            repeat_shares[call.callee] +=
+                graph.onCall(time.queue.now() + 300us, call.callee, std::min<Duration>(left, call.usual)).repeat_share;
+            ++made[call.callee];
+            if (random.unit() < call.fail_share) {
+                graph.onRunEnded(time.queue.now(), number, false);
+                return;
+            }
+            step(number, deadline, steps, next + 1, pause);
+        });
+    }
+    double calls(const std::string& route, const std::string& callee) {
+        return graph.callsPerRun(route, callee).value_or(-1);
+    }
+
+    tests::VirtualTime time;
+    adapters::SeededRandom random{1};
+    decision::CallGraph graph{{}};
+    std::map<std::string, double> repeat_shares;  ///< Sums, by callee.
+    std::map<std::string, int> made;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_decision_call_graph, GraphFixture)
+
+BOOST_AUTO_TEST_CASE(nothing_is_excluded_before_enough_was_seen) {
+    auto deadline = time.queue.now() + 1s;
+    BOOST_TEST(graph.depends("pack", "below"));
+    graph.onRunBegan(time.queue.now(), "pack", {}, &deadline);
+    BOOST_TEST(graph.depends("pack", "below"));
+    BOOST_TEST(!graph.callsPerRun("pack", "below").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_route_that_makes_no_calls_is_told_from_one_that_makes_many) {
+    arrive({"index", 35, 2s, 200ms, {{"below", 4, 700ms}}});
+    arrive({"pack", 4, 1500ms, 130ms, {}});
+    time.advance(10s);
+    for (int second = 0; second < 120; ++second) {
+        time.advance(1s);
+        BOOST_TEST(graph.depends("index", "below"));
+        BOOST_TEST(!graph.depends("pack", "below"));
+    }
+}
+
+/// The usual deadlines of a mesh: no run comes near enough to its end to show a call by itself.
+BOOST_AUTO_TEST_CASE(calls_are_counted_though_no_run_comes_near_its_end) {
+    arrive({"sign", 30, 5s, 300ms, {{"stock", 2, 2s}}});
+    arrive({"check", 60, 2500ms, 250ms, {{"stock", 1, 2s}, {"price", 3, 1s}}});
+    arrive({"rare", 2, 5s, 250ms, {{"price", 1, 1s}}});
+    arrive({"plain", 40, 1200ms, 100ms, {}});
+    time.advance(20s);
+    for (int second = 0; second < 100; ++second) {
+        time.advance(1s);
+        BOOST_TEST(std::abs(calls("sign", "stock") - 2) < 0.2, calls("sign", "stock"));
+        BOOST_TEST(std::abs(calls("check", "stock") - 1) < 0.1, calls("check", "stock"));
+        BOOST_TEST(std::abs(calls("check", "price") - 3) < 0.3, calls("check", "price"));
+        BOOST_TEST(std::abs(calls("rare", "price") - 1) < 0.3, calls("rare", "price"));
+        BOOST_TEST(!graph.depends("sign", "price"));
+        BOOST_TEST(!graph.depends("plain", "price"));
+        BOOST_TEST(!graph.depends("plain", "stock"));
+    }
+}
+
+/// Where most runs die at their first call, those that make none are still told from them.
+BOOST_AUTO_TEST_CASE(failing_runs_are_known_to_make_calls) {
+    arrive({"check", 60, 2500ms, 250ms, {{"stock", 4, 2s, 0.95}}});
+    arrive({"plain", 40, 1200ms, 100ms, {}});
+    time.advance(60s);
+    BOOST_TEST(graph.depends("check", "stock"));
+    BOOST_TEST(!graph.depends("plain", "stock"));
+}
+
+BOOST_AUTO_TEST_CASE(a_route_whose_calls_change_is_learned_anew) {
+    Route route{"check", 60, 2500ms, 250ms, {{"stock", 1, 2s}}};
+    arrive(route);
+    time.advance(60s);
+    BOOST_TEST(std::abs(calls("check", "stock") - 1) < 0.1);
+    arrive({"check", 600, 2500ms, 250ms, {{"stock", 3, 2s}}});  // Nearly all from now on.
+    time.advance(90s);
+    BOOST_TEST(calls("check", "stock") > 2.5);
+}
+
+/// What calls take over is right in the mean: those of repeated runs count as repeats below.
+BOOST_AUTO_TEST_CASE(calls_take_over_the_share_of_repeats_of_the_runs_that_make_them) {
+    arrive({"sign", 30, 5s, 300ms, {{"stock", 2, 2s}}, 0.2});
+    arrive({"check", 60, 2500ms, 250ms, {{"stock", 1, 2s}}, 0});
+    arrive({"plain", 40, 1200ms, 100ms, {}, 1});  // Makes no calls: counts for nothing.
+    time.advance(60s);
+    const double mean = repeat_shares["stock"] / made["stock"];
+    BOOST_TEST(std::abs(mean - 0.1) < 0.03, mean);
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_is_explained_by_a_call_that_has_just_failed_during_the_run) {
+    const auto began = time.queue.now();
+    BOOST_TEST(!graph.explainFailure(began, began));
+    graph.onCallFailed(began + 10ms);
+    BOOST_TEST(!graph.explainFailure(began + 12ms, began + 11ms));  // Begun after the call had failed.
+    BOOST_TEST(graph.explainFailure(began + 12ms, began));
+    BOOST_TEST(!graph.explainFailure(began + 13ms, began));  // It explains one failure only.
+    graph.onCallFailed(began + 20ms);
+    BOOST_TEST(!graph.explainFailure(began + 2s, began));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/usual_deadlines_test.cc
+++ b/tests/unit/decision/usual_deadlines_test.cc
@@ -1,4 +1,4 @@
-#include "src/relay/usual_deadlines.h"
+#include "src/decision/usual_deadlines.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,7 +7,7 @@
 BOOST_AUTO_TEST_SUITE(unit_relay_usual_deadlines)
 
 BOOST_AUTO_TEST_CASE(who_gives_less_than_is_usual_on_its_route_has_asked_before) {
-    relay::UsualDeadlines deadlines;
+    decision::UsualDeadlines deadlines;
     const TimePoint now(100s);
     BOOST_TEST(!deadlines.isShortened(now, "browse", 5000ms));
     BOOST_TEST(!deadlines.isShortened(now, "browse", 4990ms));
@@ -16,7 +16,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(one_very_long_deadline_is_forgotten) {
-    relay::UsualDeadlines deadlines;
+    decision::UsualDeadlines deadlines;
     TimePoint now(100s);
     deadlines.isShortened(now, "browse", 600s);
     int repeats = 0;
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -2,12 +2,12 @@
 #include <string>
 #include <vector>
 
+#include "src/decision/repeat_budget.h"
 #include "src/relay/caller_census.h"
 #include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
 #include "src/relay/relay_service.h"
 #include "src/relay/relay_wire.h"
-#include "src/retry/repeat_budget.h"
 #include "tests/support/fakes.h"
 
 using namespace dewcrank;
@@ -164,10 +164,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(repeats_stay_within_the_part_of_the_bound) {
-    retry::RepeatBudget budget({0.2, 40, 10s});
+    decision::RepeatBudget budget({0.2, 40, 10s});
     const TimePoint start(100s);
     for (int count = 0; count < 100; ++count) {
-        budget.onFirst(start);
+        budget.onFirst(start, 0);
     }
     int taken = 0;
     while (budget.tryRepeat(start + 1s, 4)) {
--- a/tests/unit/sidecar/inner_calls_test.cc
+++ b/tests/unit/sidecar/inner_calls_test.cc
@@ -15,16 +15,18 @@
         calls.onCall("inner", 900ms);  // Its usual time.
         for (int run = 0; run < 40; ++run) {
             const auto left = std::chrono::milliseconds(400 + 10 * run);
-            graph.onRunBegan(now, "calling", now + left);
-            graph.onRunBegan(now, "plain", now + left + 5ms);
-            calls.onCall("inner", left);
-            graph.onRunEnded("calling", now + left);
-            graph.onRunEnded("plain", now + left + 5ms);
+            auto deadline = now + left;
+            auto plain_deadline = deadline + 100ms;
+            const auto calling = graph.onRunBegan(now, "calling", {}, &deadline);
+            const auto plain = graph.onRunBegan(now, "plain", {}, &plain_deadline);
+            calls.onCall("inner", deadline - now);
+            graph.onRunEnded(now + 1ms, calling, true);
+            graph.onRunEnded(now + 1ms, plain, true);
         }
     }
 
     tests::VirtualTime time;
-    relay::CallGraph graph{{}};
+    decision::CallGraph graph{{}};
     sidecar::InnerCalls calls{time.clock, graph, 1s};
 };
 
