Work the level out from the demand before admission, once for each service

Cause: a level that is multiplied each 1.2 s by target / demand cannot hold a chain of four hops: relays of the bottleneck stood idle at level 0.05 and were flooded a second later; entries took the last report of a route, whichever relay it came from. Ruled out: the call graph (mended before). Change: each request carries how many it stands for (1 / the level it was admitted at); relays sum the work of what arrives, so weighted, over a second: the demand before admission, whatever entries apply. Callers sum demand and capacity over a service's relays to one level; what is deeper is told with the slot time that a request takes there. Entries refuse slot time instead of requests. A service whose slots stand free holds nothing back. relay::DemandLevel and sidecar::InnerCalls are gone.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -50,14 +50,16 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
 }
 
-std::string SidecarMetrics::text(const sidecar::SidecarNode& node, const AdapterFigures& figures) {
+std::string SidecarMetrics::text(sidecar::SidecarNode& node, const AdapterFigures& figures) {
     const auto load = node.relay().load();
     setGauge("dewcrank_instance_running", "Calls that the instance has.", load.running);
     setGauge("dewcrank_instance_waiting", "Calls that wait for the instance.", load.waiting);
     setGauge("dewcrank_instance_limit", "Calls that the instance may have at once.", load.limit);
-    setGauge("dewcrank_instance_demand", "Demand over capacity at the last correction.", node.relay().level().demand());
-    setGauge("dewcrank_instance_level", "Share of the requests upstream to admit.", node.relay().level().level());
-    setGauge("dewcrank_admitted_share", "Least share that this entry admits.", node.admission().leastShare().share);
+    const auto own = node.serviceLoad();
+    setGauge("dewcrank_instance_demand", "Slots that all requests would need, refused ones included.", own.demand);
+    setGauge("dewcrank_instance_busy", "Slots in use, mean of a second.", own.busy);
+    setGauge("dewcrank_instance_level", "Share of the requests upstream to admit.", own.level());
+    setGauge("dewcrank_least_level", "Least level of a service that this node calls.", node.leastBottleneck().level);
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
     setGauge("dewcrank_nodes_known", "Other nodes known.", static_cast<double>(node.directory().others().size()));
     setGauge("dewcrank_calls_in_flight", "Calls in flight at this node.", static_cast<double>(node.inFlight()));
--- a/src/adapters/sidecar_metrics.h
+++ b/src/adapters/sidecar_metrics.h
@@ -25,7 +25,7 @@
 public:
     SidecarMetrics();
     void onCallEnded(const entry::EntryReport& report);
-    [[nodiscard]] std::string text(const sidecar::SidecarNode& node, const AdapterFigures& figures);
+    [[nodiscard]] std::string text(sidecar::SidecarNode& node, const AdapterFigures& figures);
 
 private:
     void setGauge(const char* name, const char* help, double value);
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -126,7 +126,7 @@
     const auto relay = relayEnded();
     if (result.has_load) {
         services_.selector.onLoad(relay, result.load);
-        services_.observe(plan_, result);
+        services_.observe(plan_, relay, result);
     }
     offered_ += result.was_offered ? 1 : 0;
     const bool has_failed = isOwnFailure(result);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -66,7 +66,7 @@
     HeaderNames names;
     EntryKnobs knobs;
     /// Told of each result that a relay has reported.
-    std::function<void(const EntryPlan&, const relay::RelayResult&)> observe;
+    std::function<void(const EntryPlan&, const std::string& relay, const relay::RelayResult&)> observe;
     /// True if relays report that less than all is to be asked of the service, or of one below it.
     std::function<bool(const EntryPlan&)> is_overloaded;
     Weakening weakening;  ///< Tests only.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -63,7 +63,7 @@
       queue_(clock, knobs.queue),
       repeats_(knobs.repeats),
       census_(clock, std::move(share_of)),
-      level_(knobs.level),
+      demand_(knobs.demand),
       call_graph_(knobs.call_graph) {
     instance_.signalChanged().connect([this] {
         if (instance_.isReady()) {
@@ -143,16 +143,23 @@
     auto& request = running.request;
     const auto now = clock_.now();
     const auto entering = placeInQueue(&request);
-    const auto load = queue_.load();
     running.ticket =
         queue_.enter(entering, [this, number](InstanceQueue::Decision decision) { onDecision(number, decision); });
     // What another relay may still take is not this instance's demand.
     const bool is_taken = running.ticket != 0 || running.is_let_in;
     if (is_taken || request.is_last_choice) {
-        level_.onArrival(now, request.route, {load.running, load.waiting, load.limit});
+        demand_.onArrival(now, request.route, request.lineage.represents);
     }
 }
 
+decision::ServiceLoad RelayService::serviceLoad() {
+    if (!instance_.isReady()) {
+        return {};
+    }
+    const auto load = queue_.load();
+    return demand_.load(clock_.now(), load.limit, load.mean_time * load.waiting);
+}
+
 void RelayService::refuseLater(Number number, RelayReason reason) {
     running_[number]->refusal = clock_.startTimer(Duration::zero(), [this, number, reason] {
         RelayResult result;
@@ -170,6 +177,7 @@
         return;
     }
     running.is_let_in = true;
+    demand_.onRunning(clock_.now(), queue_.load().running);
     if (!takes(running.request.instance)) {
         refuseLater(number, RelayReason::kDraining);
     } else if (running.request.deadline - clock_.now() < knobs_.least_remaining) {
@@ -266,13 +274,15 @@
         const bool is_measured = result.outcome == RelayOutcome::kAnswered;
         const auto time = clock_.now() - running.sent;
         if (is_measured) {
-            level_.onAnswered(clock_.now(), running.request.route, time);
+            demand_.onAnswered(running.request.route, time);
         }
-        queue_.leave(is_measured ? time : Duration::zero());
+        leaveQueue(is_measured ? time : Duration::zero());
     }
     result.load = queue_.load();
     result.has_load = true;
-    result.is_inner = census_.isInner(running.request.route);
+    result.report.load = serviceLoad();
+    result.report.time = demand_.timeOf(running.request.route);
+    result.report.is_inner = census_.isInner(running.request.route);
     running.callback(std::move(result));
 }
 
@@ -288,8 +298,13 @@
     }
     if (running.is_let_in) {
         running.attempt.reset();
-        queue_.leave(Duration::zero());
+        leaveQueue(Duration::zero());
     }
 }
 
+void RelayService::leaveQueue(Duration time) {
+    queue_.leave(time);
+    demand_.onRunning(clock_.now(), queue_.load().running);
+}
+
 }  // namespace dewcrank::relay
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -12,7 +12,9 @@
 #include "src/base/header_names.h"
 #include "src/base/http_message.h"
 #include "src/base/weakening.h"
+#include "src/decision/bottleneck_view.h"
 #include "src/decision/call_graph.h"
+#include "src/decision/instance_demand.h"
 #include "src/decision/repeat_budget.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/instance/local_instance.h"
@@ -20,7 +22,6 @@
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
 #include "src/relay/caller_census.h"
-#include "src/relay/demand_level.h"
 #include "src/relay/instance_queue.h"
 
 namespace dewcrank::relay {
@@ -70,9 +71,7 @@
     HttpAnswer answer;          ///< Only with kAnswered.
     QueueLoad load;
     bool has_load = false;
-    bool is_inner = false;   ///< The route is called by instances, not by callers.
-    std::string bottleneck;  ///< The service at or below the instance's of which least is to be asked.
-    double level = 1;        ///< The share of the requests to it that should be admitted.
+    decision::RouteReport report;  ///< Counts if `has_load`.
 };
 
 /// Constants of a relay.
@@ -88,7 +87,7 @@
     double continuing_wait_share = 0.6;
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
-    LevelKnobs level;
+    decision::DemandKnobs demand;
     decision::CallGraphKnobs call_graph;
     /// One slot in so many is left free, and at least one of an instance with so many slots.
     std::uint32_t free_slot_in = 16;
@@ -119,7 +118,8 @@
     void setRelayCount(std::size_t count) { relay_count_ = count; }
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
-    [[nodiscard]] const DemandLevel& level() const { return level_; }
+    /// What the instance is asked for and can give.
+    [[nodiscard]] decision::ServiceLoad serviceLoad();
     /// The calls that the instance makes, by the routes that it serves.
     [[nodiscard]] decision::CallGraph& callGraph() { return call_graph_; }
 
@@ -148,6 +148,7 @@
     RelayResult judgeAnswer(const Running& running, HttpAnswer answer);
     void onRunEnded(const Running& running, bool is_whole);
     void finish(Number number, RelayResult result);
+    void leaveQueue(Duration time);
 
     Clock& clock_;
     EventLog& log_;
@@ -159,7 +160,7 @@
     InstanceQueue queue_;
     decision::RepeatBudget repeats_;
     CallerCensus census_;
-    DemandLevel level_;
+    decision::InstanceDemand demand_;
     decision::CallGraph call_graph_;
     decision::UsualDeadlines deadlines_;
     std::size_t relay_count_ = 1;
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -14,7 +14,9 @@
 /// thousandths.
 constexpr std::string_view kCall = "dewcrank-relay-call";
 /// Of an answer: sender, its table's version, outcome, reason, was offered, running, waiting, limit,
-/// mean time in microseconds, is inner, bottleneck, level in thousandths, failed below.
+/// mean time in microseconds, is inner, demand, capacity and busy of
+/// the instance in thousandths of a slot, time of the route in microseconds, bottleneck below, its level in thousandths
+/// and cost in microseconds, failed below.
 constexpr std::string_view kResult = "dewcrank-relay-result";
 constexpr double kPermille = 1000;
 
@@ -50,6 +52,26 @@
     return load;
 }
 
+void write(FieldWriter* fields, const decision::RouteReport& report) {
+    fields->add(report.is_inner ? 1 : 0);
+    fields->add(inThousandths(report.load.demand)).add(inThousandths(report.load.capacity));
+    fields->add(inThousandths(report.load.busy)).add(report.time.count());
+    fields->add(report.below.service).add(inThousandths(report.below.level)).add(report.below.cost.count());
+}
+
+decision::RouteReport readReport(FieldReader* fields) {
+    decision::RouteReport report;
+    report.is_inner = fields->number() != 0;
+    report.load.demand = fromThousandths(fields->number());
+    report.load.capacity = fromThousandths(fields->number());
+    report.load.busy = fromThousandths(fields->number());
+    report.time = Duration(fields->number());
+    report.below.service = fields->text();
+    report.below.level = fromThousandths(fields->number());
+    report.below.cost = Duration(fields->number());
+    return report;
+}
+
 /// What another version may send in place of what is known reads as the least that can be said.
 RelayOutcome outcomeOf(std::int64_t number) {
     const bool is_known = number >= 0 && number <= static_cast<std::int64_t>(RelayOutcome::kUnknown);
@@ -98,8 +120,7 @@
     fields.add(static_cast<std::int64_t>(result.outcome)).add(static_cast<std::int64_t>(result.reason));
     fields.add(result.was_offered ? 1 : 0);
     write(&fields, result.load);
-    fields.add(result.is_inner ? 1 : 0).add(result.bottleneck);
-    fields.add(inThousandths(result.level));
+    write(&fields, result.report);
     fields.add(result.failed_below ? 1 : 0);
     auto answer = std::move(result.answer);
     if (result.outcome != RelayOutcome::kAnswered) {
@@ -126,9 +147,7 @@
     result.was_offered = fields.number() != 0;
     result.load = readLoad(&fields);
     result.has_load = true;
-    result.is_inner = fields.number() != 0;
-    result.bottleneck = fields.text();
-    result.level = fromThousandths(fields.number());
+    result.report = readReport(&fields);
     result.failed_below = fields.number() != 0;
     answer.headers.removePrefix(kRelayHeaderPrefix);
     result.answer = std::move(answer);
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -23,11 +23,10 @@
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
     decision::AdmissionKnobs admission;
+    decision::BottleneckKnobs bottlenecks;
     relay::RelayKnobs relay;
     /// An instance that is silent for longer counts as unknown.
     Duration longest_silence = 8s;
-    /// What an inner call has shown of the services below counts for this long.
-    Duration below_memory = 1s;
     /// Waits between tries to reach the store: doubled from the first to the longest.
     Duration first_store_pause = 200ms;
     Duration longest_store_pause = 2s;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -14,6 +14,8 @@
 constexpr Duration kStopCheck = 50ms;
 constexpr Duration kLoadLogInterval = 1s;
 constexpr double kLoggedDemand = 0.8;
+/// A request stands for at most the inverse of this many, so that a level near zero is no outlier.
+constexpr double kLeastLevel = 0.02;
 constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
@@ -55,25 +57,26 @@
       relay_(
           ports.clock, ports.log, ports.instances, instance_, settings_.header_names, settings_.instance_address,
           [this](const std::string& service) { return machineShare(service); }, settings_.knobs.relay),
-      inner_calls_(ports.clock, relay_.callGraph(), settings_.knobs.below_memory),
+      bottlenecks_(settings_.knobs.bottlenecks),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
-      admission_(ports.clock, ports.random, settings_.knobs.admission),
-      entry_services_{
-          ports.clock,
-          ports.random,
-          ports.log,
-          ports.nodes,
-          selector_,
-          relay_,
-          directory_,
-          gossip_,
-          failure_detector_,
-          table_,
-          settings_.header_names,
-          settings_.knobs.entry,
-          [this](const entry::EntryPlan& plan, const relay::RelayResult& result) { onRelayResult(plan, result); },
-          [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
-          settings_.knobs.weakening},
+      admission_(ports.random, settings_.knobs.admission),
+      entry_services_{ports.clock,
+                      ports.random,
+                      ports.log,
+                      ports.nodes,
+                      selector_,
+                      relay_,
+                      directory_,
+                      gossip_,
+                      failure_detector_,
+                      table_,
+                      settings_.header_names,
+                      settings_.knobs.entry,
+                      [this](const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result) {
+                          onRelayResult(plan, relay, result);
+                      },
+                      [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
+                      settings_.knobs.weakening},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
     instance_.signalChanged().connect([this] { publishSelf(); });
     failure_detector_.signalSilent().connect([this](const std::string& name) { onNodeSilent(name); });
@@ -96,8 +99,9 @@
 void SidecarNode::logLoad() {
     load_timer_ = ports_.clock.startTimer(kLoadLogInterval, [this] { logLoad(); });
     const auto load = relay_.load();
-    const auto least = admission_.leastShare();
-    if (relay_.level().demand() < kLoggedDemand && least.share >= 1) {
+    const auto own = serviceLoad();
+    const auto least = leastBottleneck();
+    if (own.demand < kLoggedDemand * own.capacity && least.level >= 1) {
         return;
     }
     ports_.log.write(Event("load")
@@ -105,10 +109,15 @@
                          .with("running", load.running)
                          .with("waiting", load.waiting)
                          .with("limit", load.limit)
-                         .with("demand", relay_.level().demand())
-                         .with("level", relay_.level().level())
-                         .with("least_share", least.share)
-                         .with("bottleneck", least.bottleneck));
+                         .with("demand", own.demand)
+                         .with("busy", own.busy)
+                         .with("level", own.level())
+                         .with("least_level", least.level)
+                         .with("bottleneck", least.service));
+}
+
+decision::Bottleneck SidecarNode::leastBottleneck() const {
+    return bottlenecks_.leastOfAll(ports_.clock.now());
 }
 
 bool SidecarNode::isReady() const {
@@ -164,10 +173,7 @@
     }
     const auto number = ++last_call_;
     auto planned = plan(std::move(request), route);
-    if (inner_calls_.isInner(route->name())) {
-        planned.lineage = inner_calls_.onCall(route->name(), planned.caller_deadline);
-    }
-    const bool is_admitted = isAdmitted(planned);
+    const bool is_admitted = admit(&planned);
     auto call = std::make_unique<entry::EntryCall>(
         entry_services_, std::move(planned), std::move(reply),
         [this, number](const entry::EntryReport& report) { onCallEnded(number, report); });
@@ -212,10 +218,17 @@
 }
 
 /// Inner calls are never refused here: what was done for them would be wasted.
-bool SidecarNode::isAdmitted(const entry::EntryPlan& plan) {
-    const bool is_repeat = deadlines_.isShortened(ports_.clock.now(), plan.route->name(), plan.caller_deadline);
-    return inner_calls_.isInner(plan.route->name()) ||
-           admission_.admits(plan.route->name(), plan.route->priority(), is_repeat);
+bool SidecarNode::admit(entry::EntryPlan* plan) {
+    const auto now = ports_.clock.now();
+    const auto& route = plan->route->name();
+    const bool is_repeat = deadlines_.isShortened(now, route, plan->caller_deadline);
+    if (bottlenecks_.isInner(route)) {
+        plan->lineage = relay_.callGraph().onCall(now, route, plan->caller_deadline);
+        return true;
+    }
+    const auto bottleneck = bottlenecks_.least(now, route);
+    plan->lineage.represents = 1 / std::max(kLeastLevel, bottleneck.level);
+    return admission_.admits(now, bottleneck, plan->route->priority(), is_repeat);
 }
 
 /// This node counts as one with an instance also before the first heartbeat.
@@ -224,27 +237,17 @@
     return static_cast<double>(same) / static_cast<double>(directory_.othersWithInstance() + 1);
 }
 
-void SidecarNode::addBottleneck(const std::string& route, relay::RelayResult* result) const {
-    const auto least = inner_calls_.leastOf(route, {settings_.service, relay_.level().level()});
-    result->bottleneck = least.service;
-    result->level = least.level;
-}
-
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    const auto& route = plan.route->name();
-    return inner_calls_.isOverloaded(route) || admission_.levelOf(route) < decision::kUnloadedLevel;
+    return bottlenecks_.least(ports_.clock.now(), plan.route->name()).level < decision::kUnloadedLevel;
 }
 
-void SidecarNode::onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result) {
-    const auto& route = plan.route->name();
-    if (result.bottleneck.empty()) {
-        addBottleneck(route, &result);  // The own relay's.
-    }
-    const decision::Bottleneck bottleneck{result.bottleneck, result.level};
-    inner_calls_.onReport(route, result.is_inner, bottleneck);
-    if (!result.is_inner) {
-        admission_.onReport(route, bottleneck);
+void SidecarNode::onRelayResult(const entry::EntryPlan& plan, const std::string& relay,
+                                const relay::RelayResult& result) {
+    auto report = result.report;
+    if (relay == settings_.name) {
+        report.below = bottlenecks_.leastBelow(ports_.clock.now(), plan.route->name(), relay_.callGraph());
     }
+    bottlenecks_.onReport(ports_.clock.now(), plan.route->name(), plan.service, relay, report);
 }
 
 void SidecarNode::onNodeSilent(const std::string& name) {
@@ -263,8 +266,8 @@
 /// The call that has just ended is still on the stack: it is destroyed from a timer.
 void SidecarNode::onCallEnded(CallNumber number, const entry::EntryReport& report) {
     signal_call_ended_.emit(report);
-    if (!isSuccess(report.status)) {
-        inner_calls_.onFailed(report.route);
+    if (!isSuccess(report.status) && bottlenecks_.isInner(report.route)) {
+        relay_.callGraph().onCallFailed(ports_.clock.now());
     }
     auto ended = calls_.extract(number);
     if (!ended.empty()) {
@@ -297,7 +300,7 @@
     relayed_[number] = relay_.start(std::move(request), [this, number, id, route, reply](relay::RelayResult result) {
         relayed_.erase(number);
         logRelayed(id, result);
-        addBottleneck(route, &result);
+        result.report.below = bottlenecks_.leastBelow(ports_.clock.now(), route, relay_.callGraph());
         reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
     });
     return number;
@@ -316,7 +319,7 @@
                          .with("running", result.load.running)
                          .with("waiting", result.load.waiting)
                          .with("limit", result.load.limit)
-                         .with("level", result.level));
+                         .with("level", result.report.load.level()));
 }
 
 void SidecarNode::callerLeft(CallNumber number) {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/decision/admission.h"
+#include "src/decision/bottleneck_view.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
@@ -25,7 +26,6 @@
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
-#include "src/sidecar/inner_calls.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
 
@@ -84,11 +84,14 @@
     [[nodiscard]] policy::RouteTable& table() { return table_; }
     [[nodiscard]] const fleet::NodeDirectory& directory() const { return directory_; }
     [[nodiscard]] const policy::RouteTable& table() const { return table_; }
-    [[nodiscard]] const decision::Admission& admission() const { return admission_; }
+    /// The service of which least is asked at present, among those that this node knows of.
+    [[nodiscard]] decision::Bottleneck leastBottleneck() const;
     /// Emitted with each call of this entry that has ended.
     sigc::signal<void(const entry::EntryReport&)>& signalCallEnded() { return signal_call_ended_; }
     [[nodiscard]] const Counters& counters() const { return counters_; }
     [[nodiscard]] const relay::RelayService& relay() const { return relay_; }
+    /// What the instance is asked for and can give.
+    [[nodiscard]] decision::ServiceLoad serviceLoad() { return relay_.serviceLoad(); }
 
 private:
     [[nodiscard]] static wire::NodeRecord firstRecord(const Settings& settings);
@@ -97,10 +100,9 @@
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
-    void addBottleneck(const std::string& route, relay::RelayResult* result) const;
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
-    void onRelayResult(const entry::EntryPlan& plan, relay::RelayResult result);
-    [[nodiscard]] bool isAdmitted(const entry::EntryPlan& plan);
+    void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
+    bool admit(entry::EntryPlan* plan);
     void onCallEnded(CallNumber number, const entry::EntryReport& report);
     void logRelayed(const std::string& request, const relay::RelayResult& result);
     void logLoad();
@@ -119,7 +121,7 @@
     fleet::FailureDetector failure_detector_;
     instance::LocalInstance instance_;
     relay::RelayService relay_;
-    InnerCalls inner_calls_;
+    decision::BottleneckView bottlenecks_;
     entry::RelaySelector selector_;
     decision::Admission admission_;
     entry::EntryServices entry_services_;
--- /dev/null
+++ b/tests/unit/decision/bottleneck_view_test.cc
@@ -0,0 +1,88 @@
+#include "src/decision/bottleneck_view.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+
+namespace {
+
+struct ViewFixture {
+    /// A route of the instance that makes two calls of `inner` in each run, and one that makes none.
+    void learnCalls() {
+        const auto now = time.clock.now();
+        graph.onCall(now, "inner", 900ms);  // Its usual time.
+        for (int run = 0; run < 40; ++run) {
+            auto deadline = now + 400ms + 10ms * run;
+            auto plain_deadline = deadline + 100ms;
+            const auto calling = graph.onRunBegan(now, "calling", {}, &deadline);
+            const auto plain = graph.onRunBegan(now, "plain", {}, &plain_deadline);
+            graph.onCall(now, "inner", deadline - now);
+            graph.onCall(now, "inner", deadline - now);
+            graph.onRunEnded(now + 1ms, calling, true);
+            graph.onRunEnded(now + 1ms, plain, true);
+        }
+    }
+    void report(const std::string& route, const std::string& relay, const decision::ServiceLoad& load, Duration cost,
+                const decision::Bottleneck& below = {}) {
+        view.onReport(time.clock.now(), route, "desk", relay, {load, cost, below, route == "inner"});
+    }
+    decision::Bottleneck least(const std::string& route) { return view.least(time.clock.now(), route); }
+    decision::Bottleneck below(const std::string& route) { return view.leastBelow(time.clock.now(), route, graph); }
+
+    tests::VirtualTime time;
+    decision::CallGraph graph{{}};
+    decision::BottleneckView view{{}};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_decision_bottleneck_view, ViewFixture)
+
+BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_first_report) {
+    BOOST_TEST(least("any").service.empty());
+    BOOST_TEST(least("any").level == 1);
+    BOOST_TEST(!view.isInner("any"));
+}
+
+/// One slow relay among several lowers the level only by what it holds back.
+BOOST_AUTO_TEST_CASE(the_relays_of_a_service_count_together) {
+    report("order", "n1", {10, 20, 10}, 50ms);
+    report("order", "n2", {10, 20, 10}, 50ms);
+    report("order", "n3", {60, 20, 20}, 50ms);
+    BOOST_TEST(least("order").level > 0.7);
+    report("order", "n1", {50, 20, 20}, 50ms);
+    BOOST_TEST(least("order").level == 0.5);
+    BOOST_TEST(least("order").service == "desk");
+    BOOST_TEST((least("order").cost == 50ms));
+}
+
+BOOST_AUTO_TEST_CASE(just_the_routes_that_make_a_call_share_its_bottleneck) {
+    learnCalls();
+    report("inner", "n1", {50, 20, 20}, 30ms);
+    BOOST_TEST(below("calling").service == "desk");
+    BOOST_TEST(below("calling").level == 0.4);
+    BOOST_TEST((below("calling").cost == 60ms));
+    BOOST_TEST(below("plain").service.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_least_level_counts_wherever_it_is_below) {
+    report("order", "n1", {10, 20, 10}, 50ms, {"leaf", 0.3, 88ms});
+    BOOST_TEST(least("order").service == "leaf");
+    BOOST_TEST(std::abs(least("order").level - 0.3) < 1e-6);
+    BOOST_TEST((least("order").cost == 88ms));
+    report("other", "n1", {10, 20, 10}, 50ms, {"leaf", 0.8, 88ms});  // The same service, by another way.
+    BOOST_TEST(std::abs(least("order").level - 0.4) < 1e-6);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_not_reported_any_more_fades) {
+    report("order", "n1", {50, 20, 20}, 50ms);
+    time.advance(1900ms);
+    BOOST_TEST(least("order").level > 0.9);
+    time.advance(1s);
+    BOOST_TEST(least("order").level == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/decision/instance_demand_test.cc
@@ -0,0 +1,95 @@
+#include "src/decision/instance_demand.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dewcrank;
+
+namespace {
+
+/// A steady stream at an instance of 20 slots that may use 19.
+struct DemandCase {
+    const char* name;
+    int per_second;
+    double represents;
+    std::uint32_t running;
+    Duration waiting_work;
+    double least;  ///< Bounds of the level.
+    double most;
+};
+
+constexpr std::uint32_t kLimit = 19;
+constexpr Duration kTime = 20ms;
+
+decision::ServiceLoad loadOf(const DemandCase& entry, TimePoint* now) {
+    decision::InstanceDemand demand{{}};
+    demand.onAnswered("r", kTime);
+    const auto end = *now + 3s;
+    const Duration pause = Duration(1s) / entry.per_second;
+    for (; *now < end; *now += pause) {
+        demand.onArrival(*now, "r", entry.represents);
+        demand.onRunning(*now, entry.running);
+    }
+    return demand.load(*now, kLimit, entry.waiting_work);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unit_decision_instance_demand)
+
+BOOST_AUTO_TEST_CASE(the_level_is_what_the_instance_can_do_of_what_was_asked_for) {
+    const DemandCase cases[] = {
+        {"idle", 50, 1, 1, 0ms, 1, 1},
+        {"nearly all in use", 900, 1, 18, 0ms, 1, 1},
+        {"twice the capacity, nothing refused yet", 1900, 1, 19, 0ms, 0.46, 0.50},
+        {"the same, half refused at entries", 950, 2, 19, 0ms, 0.46, 0.50},
+        {"the same, nine tenths refused at entries", 190, 10, 19, 0ms, 0.46, 0.50},
+        {"a queue is to be worked off besides", 950, 2, 19, 4000ms, 0.30, 0.42},
+        {"however much waits, some is let in", 950, 2, 19, 60000ms, 0.10, 0.20},
+        {"held back by another bottleneck", 250, 4, 5, 0ms, 1, 1},
+    };
+    for (const auto& entry : cases) {
+        TimePoint now(100s);
+        const auto load = loadOf(entry, &now);
+        BOOST_TEST(load.level() >= entry.least, entry.name << ": " << load.level());
+        BOOST_TEST(load.level() <= entry.most, entry.name << ": " << load.level());
+    }
+}
+
+/// The level follows within a window, however far the load jumps, and does not swing.
+BOOST_AUTO_TEST_CASE(a_jump_of_the_load_is_followed_within_a_second) {
+    TimePoint now(100s);
+    decision::InstanceDemand demand{{}};
+    demand.onAnswered("r", kTime);
+    demand.onRunning(now, kLimit);
+    const auto feed = [&](int per_second, Duration time) {
+        const auto end = now + time;
+        for (; now < end; now += Duration(1s) / per_second) {
+            demand.onArrival(now, "r", 1);
+        }
+        return demand.load(now, kLimit, {}).level();
+    };
+    BOOST_TEST(feed(900, 2s) == 1);
+    const double halfway = feed(3600, 500ms);
+    BOOST_TEST(halfway < 0.5);
+    for (int tenth = 0; tenth < 30; ++tenth) {
+        const double level = feed(3600, 600ms);
+        BOOST_TEST(level > 0.22);
+        BOOST_TEST(level < 0.32);
+    }
+    feed(900, 1100ms);
+    BOOST_TEST(feed(900, 100ms) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(slots_in_use_are_a_mean_over_time) {
+    TimePoint now(100s);
+    decision::InstanceDemand demand{{}};
+    demand.onArrival(now, "r", 1);
+    for (int step = 0; step < 20; ++step, now += 100ms) {
+        demand.onRunning(now, step % 2 == 0 ? 10 : 0);
+    }
+    const double busy = demand.load(now, kLimit, {}).busy;
+    BOOST_TEST(busy > 4.5);
+    BOOST_TEST(busy < 5.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
