Refuse strictly by rank, keep a part for each; let inner calls wait

Cause: downloads were refused for a bottleneck that they never reach, as a relay that has started anew counts every route as making every call; the most urgent were served less often than the least urgent; calls of admitted trees were refused after 0.2 of their time. Change: while a route is unknown every run with ample time is a sample; a service counts as needed by a route if half of the reports say so; the least urgent rank is refused down to level x max(0.5, 1 - level) before the next, in place of half first; inner calls may wait for 0.6 of their time, whether their tree has gone on or not (0.2 before for those that have not).

--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -24,28 +24,25 @@
     }
 }
 
-/// What is to be refused is taken from the least urgent first: from each priority down to its
-/// fair share, and only then from each down to nothing.
+/// What is to be refused is taken from the least urgent first: from each priority down to what it
+/// keeps in any case.
 double Admission::admittedOf(const Arrivals& arrivals, double level, std::uint32_t rank) const {
     double total = 0;
     for (const auto& [other, work] : arrivals.work) {
         total += work;
     }
     double to_refuse = (1 - level) * total;
-    std::map<std::uint32_t, double> admitted;
-    for (const double fair_share : {knobs_.fair_share, 0.0}) {
-        for (auto it = arrivals.work.rbegin(); it != arrivals.work.rend(); ++it) {
-            auto& share = admitted.try_emplace(it->first, 1.0).first->second;
-            const double least = it->first >= kRepeatRank ? 0.0 : fair_share;
-            const double refused = std::min(to_refuse, (share - least) * it->second);
-            if (it->second > 0) {
-                share -= refused / it->second;
-            }
-            to_refuse -= refused;
+    // The less can be served, the more evenly: a level near zero would leave the last ones nothing.
+    const double kept_share = level * std::max(knobs_.kept_share, 1 - level);
+    for (auto it = arrivals.work.rbegin(); it != arrivals.work.rend(); ++it) {
+        const double least = it->first >= kRepeatRank ? 0.0 : kept_share;
+        const double refused = std::min(to_refuse, (1 - least) * it->second);
+        if (it->first == rank) {
+            return it->second > 0 ? 1 - refused / it->second : 1;
         }
+        to_refuse -= refused;
     }
-    const auto found = admitted.find(rank);
-    return found == admitted.end() ? 1.0 : found->second;
+    return 1;
 }
 
 bool Admission::admits(TimePoint now, const Bottleneck& bottleneck, std::uint32_t priority, bool is_repeat) {
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -16,8 +16,8 @@
 
 /// Constants of the admission.
 struct AdmissionKnobs {
-    /// Each priority is admitted at this share before the next more urgent one is reduced.
-    double fair_share = 0.5;
+    /// Each priority keeps this part of the level at least, whatever is more urgent: none starves.
+    double kept_share = 0.5;
 };
 
 /// The share of requests that this entry admits, for each bottleneck.
--- a/src/decision/bottleneck_view.cc
+++ b/src/decision/bottleneck_view.cc
@@ -29,12 +29,22 @@
     it.is_inner = report.is_inner;
     approach(&it.time, seconds(report.time), is_first);
     it.reported = now;
-    if (report.below.service.empty()) {
+    onBelow(&it, report.below);
+    if (!report.below.service.empty()) {
+        onTold(now, report.below);
+    }
+}
+
+void BottleneckView::onBelow(Route* route, const Bottleneck& below) const {
+    for (auto& [service, it] : route->below) {
+        it.presence += ((service == below.service ? 1 : 0) - it.presence) * knobs_.presence_weight;
+    }
+    if (below.service.empty()) {
         return;
     }
-    const auto [cost, is_new] = it.below.try_emplace(report.below.service, 0);
-    approach(&cost->second, seconds(report.below.cost), is_new);
-    onTold(now, report.below);
+    const auto [found, is_new] = route->below.try_emplace(below.service);
+    approach(&found->second.cost, seconds(below.cost), is_new);
+    found->second.presence = is_new ? 1 : found->second.presence;
 }
 
 void BottleneckView::onRelayLoad(TimePoint now, Service* service, const std::string& relay,
@@ -85,8 +95,13 @@
     return it.told ? faded(now, *it.told, it.told_level) : 1;
 }
 
-BottleneckView::Costs BottleneckView::costsOf(const Route& route) {
-    auto costs = route.below;
+BottleneckView::Costs BottleneckView::costsOf(const Route& route) const {
+    Costs costs;
+    for (const auto& [service, it] : route.below) {
+        if (it.presence >= knobs_.least_presence) {
+            costs[service] = it.cost;
+        }
+    }
     costs[route.service] += route.time;
     return costs;
 }
--- a/src/decision/bottleneck_view.h
+++ b/src/decision/bottleneck_view.h
@@ -37,6 +37,10 @@
     /// A report counts for this long, and then fades over the same time.
     Duration memory = 1s;
     double report_weight = 0.2;  ///< Of one report in the moving averages of levels and costs.
+    /// A service counts as needed by a route while this part of the reports says so: where most relays
+    /// know that it is not, one that has not learned its instance's calls yet does not matter.
+    double least_presence = 0.5;
+    double presence_weight = 0.1;  ///< Of one report in that part.
 };
 
 /// One estimate for each service, whichever relay or route it was heard through: the loads of a
@@ -70,11 +74,16 @@
         double told_level = 1;              ///< By nodes that call it.
         std::optional<TimePoint> told;
     };
+    /// What the calls of a route need of one service.
+    struct Below {
+        double cost = 0;      ///< Slot time of all of them, in seconds.
+        double presence = 0;  ///< Part of the reports that name the service.
+    };
     struct Route {
         std::string service;
         bool is_inner = false;
-        double time = 0;                      ///< Seconds.
-        std::map<std::string, double> below;  ///< Slot time of the calls below, in seconds, by service.
+        double time = 0;                     ///< Seconds.
+        std::map<std::string, Below> below;  ///< By service.
         TimePoint reported{};
     };
     /// Slot time by service, in seconds.
@@ -85,7 +94,8 @@
     void onTold(TimePoint now, const Bottleneck& below);
     [[nodiscard]] double levelOf(TimePoint now, const std::string& service) const;
     [[nodiscard]] double faded(TimePoint now, TimePoint reported, double level) const;
-    [[nodiscard]] static Costs costsOf(const Route& route);
+    void onBelow(Route* route, const Bottleneck& below) const;
+    [[nodiscard]] Costs costsOf(const Route& route) const;
     [[nodiscard]] Bottleneck leastAmong(TimePoint now, const Costs& costs) const;
     void approach(double* average, double value, bool is_first) const;
 
--- a/src/decision/call_graph.h
+++ b/src/decision/call_graph.h
@@ -37,7 +37,7 @@
     double sample_share = 0.85;
     /// A sample has at least this many times the mean time of its route's runs.
     double least_room = 3;
-    std::uint32_t learning_interval = 4;  ///< One run in so many is a sample while a route is unknown,
+    std::uint32_t learning_interval = 1;  ///< One run in so many is a sample while a route is unknown,
     std::uint32_t known_interval = 64;    ///< and one in so many afterwards, to see changes.
     double enough_samples = 4;            ///< Whole runs, before anything is said of a route's calls.
     /// Runs that failed may have made fewer calls than they would have; so more are asked for.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -118,8 +118,8 @@
 }
 
 /// Requests are let in by the time until which they can wait, and by priority. Calls of trees that
-/// have used up a part of their time go before all others and may wait for longer: refused, they
-/// would waste what the calls before them have done here, while a first call wastes nothing yet.
+/// have used up a part of their time go before all others. Every inner call may wait for longer than a
+/// caller's request: refused, it would waste what was done for its tree.
 QueueRequest RelayService::placeInQueue(RelayRequest* request) {
     const auto now = clock_.now();
     const auto remaining = request->deadline - now;
@@ -128,9 +128,8 @@
     const bool is_inner = census_.isInner(request->route);
     const bool is_continuing = is_inner && is_shortened;
     if (is_inner) {
-        const double share = is_continuing ? knobs_.continuing_wait_share : knobs_.inner_wait_share;
-        request->longest_wait =
-            std::max(request->longest_wait, std::chrono::duration_cast<Duration>(remaining * share));
+        const auto wait = std::chrono::duration_cast<Duration>(remaining * knobs_.inner_wait_share);
+        request->longest_wait = std::max(request->longest_wait, wait);
     }
     QueueRequest place;
     place.give_up_at = std::min(request->deadline, now + request->longest_wait);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -82,9 +82,7 @@
     Duration least_remaining = 5ms;
     /// Inner calls may wait for this part of the time that they have left: what was done for
     /// them would be wasted.
-    double inner_wait_share = 0.2;
-    /// The same for those of trees that have used up a part of their time.
-    double continuing_wait_share = 0.6;
+    double inner_wait_share = 0.6;
     /// Each step of priority counts like this much longer in the queue.
     Duration priority_step = 100ms;
     decision::DemandKnobs demand;
--- a/tests/unit/decision/bottleneck_view_test.cc
+++ b/tests/unit/decision/bottleneck_view_test.cc
@@ -77,6 +77,20 @@
     BOOST_TEST(std::abs(least("order").level - 0.4) < 1e-6);
 }
 
+/// A relay that has started anew does not know yet which calls its instance makes.
+BOOST_AUTO_TEST_CASE(what_most_relays_say_of_a_route_counts) {
+    for (int round = 0; round < 20; ++round) {
+        for (const auto* relay : {"n1", "n2", "n3"}) {
+            const bool is_new = std::string(relay) == "n3";
+            report("pack", relay, {10, 20, 10}, 50ms,
+                   is_new ? decision::Bottleneck{"leaf", 0.3, 88ms} : decision::Bottleneck{});
+            report("order", relay, {10, 20, 10}, 50ms, {"leaf", 0.3, 88ms});
+        }
+    }
+    BOOST_TEST(least("pack").level == 1);
+    BOOST_TEST(std::abs(least("order").level - 0.3) < 1e-6);
+}
+
 BOOST_AUTO_TEST_CASE(what_is_not_reported_any_more_fades) {
     report("order", "n1", {50, 20, 20}, 50ms);
     time.advance(1900ms);
