--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -16,7 +16,7 @@
 
 /// Constants of the choice. A relay's cost is its use (busy and waiting over slots) plus these.
 struct SelectorKnobs {
-    double other_zone_cost = 0.25;
+    double other_zone_cost = 0.6;
     double cold_cost = 0.3;
     double cold_factor = 2.0;     ///< A cold instance is about this much slower.
     double random_cost = 0.05;    ///< Uniform up to this: keeps entries from choosing alike.
