--- a/src/decision/repeat_budget.cc
+++ b/src/decision/repeat_budget.cc
@@ -5,8 +5,10 @@
 namespace dewcrank::decision {
 
 namespace {
-constexpr double kMargin = 0.5;
-}
+/// Part of the bound that is spent. The rest is for requests that cross the edge of a window and for what
+/// repeated runs call below, which is known in the mean only.
+constexpr double kSpentShare = 0.8;
+}  // namespace
 
 RepeatBudget::Second& RepeatBudget::current(TimePoint now) {
     const auto number = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
@@ -35,7 +37,7 @@
         repeats += second.repeats;
     }
     const auto part = bound_.slack / static_cast<double>(std::max<std::size_t>(1, relays));
-    if (repeats + 1 > kMargin * (bound_.ratio * first + part)) {
+    if (repeats + 1 > kSpentShare * (bound_.ratio * first + part)) {
         return false;
     }
     present.repeats += 1;
--- a/src/decision/repeat_budget.h
+++ b/src/decision/repeat_budget.h
@@ -18,7 +18,7 @@
 
 /// One relay's part of a service's budget. Each relay spends at most the ratio of its own first
 /// requests and its part of the slack, so that the parts sum to the whole without messages.
-/// Half of the bound is left as a margin for requests that cross the edge of a window.
+/// A fifth of the bound is left as a margin, for requests that cross the edge of a window among others.
 class RepeatBudget {
 public:
     explicit RepeatBudget(RepeatBound bound) : bound_(bound) {}
