--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -41,7 +41,7 @@
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(unit_entry_admission, AdmissionFixture)
+BOOST_FIXTURE_TEST_SUITE(unit_decision_admission, AdmissionFixture)
 
 BOOST_AUTO_TEST_CASE(nothing_is_refused_without_a_report_or_at_level_one) {
     BOOST_TEST(admission.admits(time.clock.now(), {}, 7, true));
--- /dev/null
+++ b/tests/unit/decision/repeat_budget_test.cc
@@ -0,0 +1,47 @@
+#include "src/decision/repeat_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dewcrank;
+
+namespace {
+
+constexpr decision::RepeatBound kBound{0.2, 0, 10s};
+constexpr TimePoint kStart(100s);
+
+int repeatsAfter(int firsts, double repeat_share) {
+    decision::RepeatBudget budget(kBound);
+    for (int count = 0; count < firsts; ++count) {
+        budget.onFirst(kStart, repeat_share);
+    }
+    int taken = 0;
+    while (budget.tryRepeat(kStart, 1)) {
+        ++taken;
+    }
+    return taken;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unit_decision_repeat_budget)
+
+/// Calls of repeated runs are repeats here: they use the budget up, and are never refused for it.
+BOOST_AUTO_TEST_CASE(what_repeated_runs_call_counts_against_the_budget_below) {
+    BOOST_TEST(repeatsAfter(1000, 0) == 160);
+    BOOST_TEST(repeatsAfter(1000, 0.05) == 102);  // 0.8 of 0.2 * 950, less 50.
+    BOOST_TEST(repeatsAfter(1000, 0.15) == 0);
+}
+
+/// At each level of a tree repeats and inherited ones together stay within the bound, however deep.
+BOOST_AUTO_TEST_CASE(a_chain_of_services_that_all_repeat_stays_within_the_bound_at_each) {
+    double repeat_share = 0;
+    for (int depth = 0; depth < 23; ++depth) {
+        const int firsts = 1000;
+        const int own = repeatsAfter(firsts, repeat_share);
+        const double repeats = own + repeat_share * firsts;
+        BOOST_TEST(repeats <= kBound.ratio * firsts, depth);
+        repeat_share = repeats / (firsts + own);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/decision/usual_deadlines_test.cc
+++ b/tests/unit/decision/usual_deadlines_test.cc
@@ -4,7 +4,7 @@
 
 using namespace dewcrank;
 
-BOOST_AUTO_TEST_SUITE(unit_relay_usual_deadlines)
+BOOST_AUTO_TEST_SUITE(unit_decision_usual_deadlines)
 
 BOOST_AUTO_TEST_CASE(who_gives_less_than_is_usual_on_its_route_has_asked_before) {
     decision::UsualDeadlines deadlines;
