--- a/src/base/time.h
+++ b/src/base/time.h
@@ -18,4 +18,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+inline double toSeconds(Duration duration) {
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Rounded down to whole microseconds.
+inline Duration fromSeconds(double seconds) {
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 }  // namespace dewcrank
--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -52,7 +52,7 @@
     auto& arrivals = arrivals_[bottleneck.service];
     fade(now, &arrivals);
     const auto rank = priority + (is_repeat ? kRepeatRank : 0);
-    arrivals.work[rank] += std::chrono::duration<double>(std::max(bottleneck.cost, kLeastCost)).count();
+    arrivals.work[rank] += toSeconds(std::max(bottleneck.cost, kLeastCost));
     return bottleneck.level >= 1 || random_.unit() < admittedOf(arrivals, bottleneck.level, rank);
 }
 
--- a/src/decision/bottleneck_view.cc
+++ b/src/decision/bottleneck_view.cc
@@ -4,18 +4,6 @@
 
 namespace dewcrank::decision {
 
-namespace {
-
-double seconds(Duration duration) {
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value) {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
-}  // namespace
-
 void BottleneckView::approach(double* average, double value, bool is_first) const {
     *average += (value - *average) * (is_first ? 1 : knobs_.report_weight);
 }
@@ -27,7 +15,7 @@
     const bool is_first = it.service != service || now - it.reported > 2 * knobs_.memory;
     it.service = service;
     it.is_inner = report.is_inner;
-    approach(&it.time, seconds(report.time), is_first);
+    approach(&it.time, toSeconds(report.time), is_first);
     it.reported = now;
     onBelow(&it, report.below);
     if (!report.below.service.empty()) {
@@ -43,7 +31,7 @@
         return;
     }
     const auto [found, is_new] = route->below.try_emplace(below.service);
-    approach(&found->second.cost, seconds(below.cost), is_new);
+    approach(&found->second.cost, toSeconds(below.cost), is_new);
     found->second.presence = is_new ? 1 : found->second.presence;
 }
 
@@ -78,7 +66,7 @@
 }
 
 double BottleneckView::faded(TimePoint now, TimePoint reported, double level) const {
-    const double age = seconds(now - reported) / seconds(knobs_.memory);
+    const double age = toSeconds(now - reported) / toSeconds(knobs_.memory);
     return level + (1 - level) * std::clamp(age - 1, 0.0, 1.0);
 }
 
--- a/src/decision/call_graph.cc
+++ b/src/decision/call_graph.cc
@@ -9,10 +9,6 @@
 constexpr double kFade = 0.5;
 constexpr int kDeadlineTries = 8;  ///< Before a sample is given up for want of a deadline of its own.
 
-double seconds(Duration duration) {
-    return std::chrono::duration<double>(duration).count();
-}
-
 Duration part(Duration whole, double share) {
     return std::chrono::duration_cast<Duration>(whole * share);
 }
@@ -36,7 +32,7 @@
 
 /// True if a run that shows calls of this usual time has ample time.
 bool CallGraph::hasRoom(const Route& route, Duration usual) const {
-    return route.mean_time > 0 && seconds(part(usual, knobs_.sample_share)) >= knobs_.least_room * route.mean_time;
+    return route.mean_time > 0 && toSeconds(part(usual, knobs_.sample_share)) >= knobs_.least_room * route.mean_time;
 }
 
 bool CallGraph::isSampleDue(const Route& route) const {
@@ -117,7 +113,7 @@
         route.sum = {0, 0};  // Rounding does not add up.
     }
     if (is_whole) {
-        const double time = seconds(now - run.began);
+        const double time = toSeconds(now - run.began);
         route.mean_time += (time - route.mean_time) * (route.mean_time > 0 ? knobs_.time_weight : 1);
     }
     count(run, is_whole);
--- a/src/decision/instance_demand.cc
+++ b/src/decision/instance_demand.cc
@@ -14,10 +14,6 @@
 constexpr double kFreeBusy = 0.5;
 constexpr double kBoundBusy = 0.8;
 
-double seconds(Duration duration) {
-    return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 ServiceLoad& ServiceLoad::operator+=(const ServiceLoad& other) {
@@ -60,7 +56,7 @@
     while (from < now) {
         const TimePoint span_end(spanLength() * (numberOf(from) + 1));
         const auto to = std::min(span_end, now);
-        spanAt(from).busy += running_ * seconds(to - from);
+        spanAt(from).busy += running_ * toSeconds(to - from);
         from = to;
     }
 }
@@ -69,12 +65,12 @@
     if (began_ == TimePoint{}) {
         began_ = now;
     }
-    spanAt(now).arrived_work += represents * seconds(timeOf(route));
+    spanAt(now).arrived_work += represents * toSeconds(timeOf(route));
 }
 
 void InstanceDemand::onAnswered(const std::string& route, Duration time) {
-    auto& average = times_.try_emplace(route, seconds(time)).first->second;
-    average += (seconds(time) - average) * knobs_.time_weight;
+    auto& average = times_.try_emplace(route, toSeconds(time)).first->second;
+    average += (toSeconds(time) - average) * knobs_.time_weight;
 }
 
 void InstanceDemand::onRunning(TimePoint now, std::uint32_t running) {
@@ -85,7 +81,7 @@
 Duration InstanceDemand::timeOf(const std::string& route) const {
     const auto found = times_.find(route);
     const double time = found == times_.end() ? kFirstTime : found->second;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time));
+    return fromSeconds(time);
 }
 
 ServiceLoad InstanceDemand::load(TimePoint now, std::uint32_t limit, Duration waiting_work) {
@@ -101,8 +97,8 @@
     }
     // The window begins with a whole span and ends within the present one.
     const auto window_began = std::max(began_, TimePoint(spanLength() * first));
-    const double length = std::max(kLeastWindow, seconds(now - window_began));
-    const double backlog = seconds(waiting_work) / seconds(knobs_.catch_up);
+    const double length = std::max(kLeastWindow, toSeconds(now - window_began));
+    const double backlog = toSeconds(waiting_work) / toSeconds(knobs_.catch_up);
     ServiceLoad load;
     load.demand = work / length;
     load.busy = busy / length;
--- a/tests/simulation/overload_test.cc
+++ b/tests/simulation/overload_test.cc
@@ -44,7 +44,7 @@
 struct Seen {
     std::map<std::string, double> asked;  ///< By the prefix of their path.
     std::map<std::string, double> served;
-    double let_in = 0;     ///< Requests that an instance has begun to run.
+    double let_in = 0;  ///< Requests that an instance has begun to run.
     double let_in_well = 0;
     double leaf_busy = 0;  ///< Part of the time of all slots of the leaves that are up.
     [[nodiscard]] double share(const std::string& prefix) { return served[prefix] / std::max(1.0, asked[prefix]); }
