Log each relay's repeats against its part, and sum them over the fleet

Cause: from logs and metrics nobody could tell how many repeats a relay had let in, by which requests, and what the service's relays had spent together in a window. Change: event=repeats once a second while requests come; gauges of the same; the entry tells a relay whether another one has counted the request; dewcrank repeats FILE... gives the worst window of each service, by node. No decision is changed.

--- a/apps/ctl/explain.cc
+++ b/apps/ctl/explain.cc
@@ -1,12 +1,12 @@
 #include "apps/ctl/explain.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <set>
 
 #include "apps/ctl/commands.h"
+#include "apps/ctl/log_line.h"
 
 namespace dewcrank::ctl {
 
@@ -18,26 +18,6 @@
     "store_failed",  "settings_read",    "relay_failed",    "node_silent",   "load",
     "nodes_listed",  "events_left_out",  "settings_refused"};
 
-/// The value of a key in a line of key=value pairs; empty if it is not there.
-std::string valueOf(const std::string& line, const std::string& key) {
-    const auto at = (" " + line).find(" " + key + "=");
-    if (at == std::string::npos) {
-        return "";
-    }
-    const auto begin = at + key.size() + 1;
-    return line.substr(begin, line.find(' ', begin) - begin);
-}
-
-/// Seconds of the day of a time such as 2026-01-31T12:00:05.250.
-double secondsOf(const std::string& time) {
-    int hours = 0;
-    int minutes = 0;
-    double seconds = 0;
-    const auto clock = time.substr(std::min(time.size(), time.find('T') + 1));
-    std::sscanf(clock.c_str(), "%d:%d:%lf", &hours, &minutes, &seconds);
-    return hours * 3600.0 + minutes * 60.0 + seconds;
-}
-
 }  // namespace
 
 void Explanation::read(const std::string& source, std::istream& log) {
--- a/apps/ctl/run.cc
+++ b/apps/ctl/run.cc
@@ -6,6 +6,7 @@
 
 #include "apps/ctl/commands.h"
 #include "apps/ctl/explain.h"
+#include "apps/ctl/repeat_report.h"
 #include "src/adapters/socket_address.h"
 
 namespace dewcrank::ctl {
@@ -72,6 +73,13 @@
         std::cout << renderColumns();
         return kExitOk;
     }
+    if (words.size() > 1 && words[0] == "repeats") {
+        return reportRepeats({words.begin() + 1, words.end()});
+    }
+    if (words == std::vector<std::string>{"repeats"}) {
+        std::cerr << "repeats: one log file at least is expected\n";
+        return kExitBadInput;
+    }
     if (words.empty() || words[0] != "explain") {
         return runWithStore(given, std::move(request), factory);
     }
--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -59,6 +59,14 @@
     setGauge("dewcrank_instance_demand", "Slots that all requests would need, refused ones included.", own.demand);
     setGauge("dewcrank_instance_busy", "Slots in use, mean of a second.", own.busy);
     setGauge("dewcrank_instance_level", "Share of the requests upstream to admit.", own.level());
+    const auto& repeats = node.relay().repeatTotals();
+    setGauge("dewcrank_repeat_requests", "Requests that repeats are allowed for, since the start.", repeats.requests);
+    setGauge("dewcrank_repeats_inherited", "Calls of repeated runs, since the start.", repeats.inherited);
+    setGauge("dewcrank_repeats_granted", "Repeats let in, since the start.", static_cast<double>(repeats.granted));
+    setGauge("dewcrank_repeats_denied", "Repeats denied, since the start.", static_cast<double>(repeats.denied));
+    const auto window = node.repeatWindow();
+    setGauge("dewcrank_repeats_window", "Repeats in the last window, inherited ones included.", window.repeats);
+    setGauge("dewcrank_repeats_window_allowed", "This relay's part of the bound in the last window.", window.allowed);
     setGauge("dewcrank_least_level", "Least level of a service that this node calls.", node.leastBottleneck().level);
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
     setGauge("dewcrank_nodes_known", "Other nodes known.", static_cast<double>(node.directory().others().size()));
--- a/src/decision/repeat_budget.cc
+++ b/src/decision/repeat_budget.cc
@@ -26,21 +26,33 @@
     auto& present = current(now);
     present.first += 1 - repeat_share;
     present.repeats += repeat_share;
+    totals_.requests += 1 - repeat_share;
+    totals_.inherited += repeat_share;
 }
 
-bool RepeatBudget::tryRepeat(TimePoint now, std::size_t relays) {
-    auto& present = current(now);
-    double first = 0;
-    double repeats = 0;
+double RepeatBudget::partOfSlack(std::size_t relays) const {
+    return bound_.slack / static_cast<double>(std::max<std::size_t>(1, relays));
+}
+
+RepeatWindow RepeatBudget::window(TimePoint now, std::size_t relays) {
+    current(now);
+    RepeatWindow window;
     for (const auto& second : seconds_) {
-        first += second.first;
-        repeats += second.repeats;
+        window.requests += second.first;
+        window.repeats += second.repeats;
     }
-    const auto part = bound_.slack / static_cast<double>(std::max<std::size_t>(1, relays));
-    if (repeats + 1 > kSpentShare * (bound_.ratio * first + part)) {
+    window.allowed = bound_.ratio * window.requests + partOfSlack(relays);
+    return window;
+}
+
+bool RepeatBudget::tryRepeat(TimePoint now, std::size_t relays) {
+    const auto last = window(now, relays);
+    if (last.repeats + 1 > kSpentShare * last.allowed) {
+        ++totals_.denied;
         return false;
     }
-    present.repeats += 1;
+    current(now).repeats += 1;
+    ++totals_.granted;
     return true;
 }
 
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -60,6 +60,7 @@
     request.request = plan_.request;
     request.instance = target.instance;
     request.is_repeat = offered_ > 0;
+    request.is_counted = is_counted_;
     request.is_last_choice =
         refusals_ + 1 >= services_.knobs.most_refusals || tried_.size() >= services_.selector.relayCount(plan_.service);
     request.route = plan_.route->name();
@@ -129,6 +130,7 @@
         services_.observe(plan_, relay, result);
     }
     offered_ += result.was_offered ? 1 : 0;
+    is_counted_ = is_counted_ || relay::isCounted(result.reason);
     const bool has_failed = isOwnFailure(result);
     if (result.was_offered && result.outcome != relay::RelayOutcome::kNotRun) {
         services_.selector.onOutcome(relay, has_failed);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -141,6 +141,7 @@
     std::set<std::string> tried_;
     std::size_t refusals_ = 0;
     std::uint32_t offered_ = 0;  ///< Instances that were sent the request.
+    bool is_counted_ = false;    ///< A relay has counted it among its service's requests.
     bool may_have_run_ = false;
     std::optional<HttpAnswer> failure_;  ///< An instance's own, given if no other instance does better.
     bool is_overload_ = false;           ///< Refused for want of room.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -50,6 +50,11 @@
     return "none";
 }
 
+bool isCounted(RelayReason reason) {
+    return reason != RelayReason::kStopping && reason != RelayReason::kDraining &&
+           reason != RelayReason::kOtherInstance && reason != RelayReason::kNotConnected;
+}
+
 RelayService::RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
                            const HeaderNames& names, std::string instance_address, CallerCensus::ShareOf share_of,
                            RelayKnobs knobs)
@@ -112,6 +117,7 @@
     }
     if (!running.request.is_repeat) {
         repeats_.onFirst(clock_.now(), running.request.lineage.repeat_share);
+        counted_before_ += running.request.is_counted ? 1 : 0;
     }
     enterQueue(number);
     return number;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -31,6 +31,7 @@
     HttpRequest request;
     std::string instance;         ///< The only instance that may run it.
     bool is_repeat = false;       ///< An instance was sent this request before.
+    bool is_counted = false;      ///< Another relay has counted it among its service's requests.
     bool is_last_choice = false;  ///< No other relay will be asked if this one refuses.
     std::string route;            ///< Its name in the table.
     std::uint32_t priority = 0;   ///< 0 is the most urgent.
@@ -62,6 +63,8 @@
     kRelayLost,  ///< The relay did not answer the entry.
 };
 const char* reasonText(RelayReason reason);
+/// True if a relay that refuses for this reason has counted the request among its service's.
+[[nodiscard]] bool isCounted(RelayReason reason);
 
 struct RelayResult {
     RelayOutcome outcome = RelayOutcome::kNotRun;
@@ -116,6 +119,11 @@
     void setRelayCount(std::size_t count) { relay_count_ = count; }
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
+    [[nodiscard]] const decision::RepeatTotals& repeatTotals() const { return repeats_.totals(); }
+    [[nodiscard]] decision::RepeatWindow repeatWindow() { return repeats_.window(clock_.now(), relay_count_); }
+    /// Requests that came here after another relay had counted them.
+    [[nodiscard]] std::uint64_t countedBefore() const { return counted_before_; }
+    [[nodiscard]] std::size_t relayCount() const { return relay_count_; }
     /// What the instance is asked for and can give.
     [[nodiscard]] decision::ServiceLoad serviceLoad();
     /// The calls that the instance makes, by the routes that it serves.
@@ -162,6 +170,7 @@
     decision::CallGraph call_graph_;
     decision::UsualDeadlines deadlines_;
     std::size_t relay_count_ = 1;
+    std::uint64_t counted_before_ = 0;
     bool is_stopping_ = false;
     Number last_number_ = 0;
     std::map<Number, std::unique_ptr<Running>> running_;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -98,6 +98,7 @@
 /// Once a second, while the instance is pressed or callers are refused.
 void SidecarNode::logLoad() {
     load_timer_ = ports_.clock.startTimer(kLoadLogInterval, [this] { logLoad(); });
+    logRepeats();
     const auto load = relay_.load();
     const auto own = serviceLoad();
     const auto least = leastBottleneck();
@@ -116,6 +117,33 @@
                          .with("bottleneck", least.service));
 }
 
+/// Once a second, while requests come: what `dewcrank repeats` sums over the fleet.
+void SidecarNode::logRepeats() {
+    const auto& now = relay_.repeatTotals();
+    const auto before = std::exchange(logged_repeats_, now);
+    const auto counted_before = relay_.countedBefore() - std::exchange(logged_counted_before_, relay_.countedBefore());
+    const double asked = now.requests - before.requests + now.inherited - before.inherited;
+    if (asked <= 0 && now.granted == before.granted && now.denied == before.denied) {
+        return;
+    }
+    const auto window = relay_.repeatWindow();
+    const auto& bound = settings_.knobs.relay.repeats;
+    ports_.log.write(Event("repeats")
+                         .with("service", settings_.service)
+                         .with("requests", now.requests - before.requests)
+                         .with("counted_before", counted_before)
+                         .with("inherited", now.inherited - before.inherited)
+                         .with("granted", now.granted - before.granted)
+                         .with("denied", now.denied - before.denied)
+                         .with("window_requests", window.requests)
+                         .with("window_repeats", window.repeats)
+                         .with("window_allowed", window.allowed)
+                         .with("relays", relay_.relayCount())
+                         .with("ratio", bound.ratio)
+                         .with("slack", bound.slack)
+                         .with("window_s", toSeconds(bound.window)));
+}
+
 decision::Bottleneck SidecarNode::leastBottleneck() const {
     return bottlenecks_.leastOfAll(ports_.clock.now());
 }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -92,6 +92,7 @@
     [[nodiscard]] const relay::RelayService& relay() const { return relay_; }
     /// What the instance is asked for and can give.
     [[nodiscard]] decision::ServiceLoad serviceLoad() { return relay_.serviceLoad(); }
+    [[nodiscard]] decision::RepeatWindow repeatWindow() { return relay_.repeatWindow(); }
 
 private:
     [[nodiscard]] static wire::NodeRecord firstRecord(const Settings& settings);
@@ -106,6 +107,7 @@
     void onCallEnded(CallNumber number, const entry::EntryReport& report);
     void logRelayed(const std::string& request, const relay::RelayResult& result);
     void logLoad();
+    void logRepeats();
     void publishSelf();
     void onNodeSilent(const std::string& name);
     void onLedAway();
@@ -114,6 +116,8 @@
     Ports ports_;
     Settings settings_;
     Counters counters_;
+    decision::RepeatTotals logged_repeats_;  ///< As of the last line on them.
+    std::uint64_t logged_counted_before_ = 0;
     sigc::signal<void(const entry::EntryReport&)> signal_call_ended_;
     policy::RouteTable table_;
     fleet::NodeDirectory directory_;
