Show that calls of repeated runs exceed the bound of the service below, red

Cause: the slack of a service is spent by repeats whose runs make calls; each of these calls is a repeat at the service below, which must take it. With four calls a run, the slack above stands for four times the slack below.

--- a/tests/simulation/repeat_budget_test.cc
+++ b/tests/simulation/repeat_budget_test.cc
@@ -137,4 +137,25 @@
     }
 }
 
+/// Four calls are made again for each repeat above: with little load, as many as the whole slack below.
+BOOST_AUTO_TEST_CASE(calls_of_repeated_runs_stay_within_the_bound_below) {
+    for (const double load : {10.0, 20.0, 40.0}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            sim::SidecarFleet fleet(seed, services());
+            fleet.putTable("desk", "desk", "leaf");
+            fleet.runFor(12s);
+            fleet.generateLoad(load, fleet.queue().now() + kLoadTime, 0);
+            at(fleet, 8s, [&fleet] {
+                for (std::size_t machine = 0; machine < kDesks; ++machine) {
+                    fleet.instance(machine).options().errors = 0.5;
+                }
+            });
+            fleet.runFor(kLoadTime + 4s);
+            for (const auto& breach : fleet.breaches()) {
+                BOOST_ERROR(load << " a second, seed " << seed << ": " << breach.promise << ": " << breach.detail);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
