Carry nothing into the span of a whole window

Cause: a relay that lives on could spend 0.88 of the bound in each window, for the sake of the first second of a failure. Change: the span of a whole window takes no requests from before it; shorter spans still take a second.

--- a/src/decision/repeat_budget.cc
+++ b/src/decision/repeat_budget.cc
@@ -10,8 +10,8 @@
 /// Requests allow repeats for this long after their step: one second, in which an instance that has just
 /// failed is left by the entries. The longer, the smaller the part that may be spent.
 constexpr std::int64_t kCarriedSteps = 4;
-/// Part of the bound that is spent. With a second carried over, windows of 10 s hold up to 0.88 of it; the
-/// rest is for calls of repeated runs, of which only the mean is known, and for the edges of steps.
+/// Part of the bound that is spent. If all relays end within a window of 10 s, the second carried over brings it
+/// to 0.88; the rest is for calls of repeated runs, of which only the mean is known, and for the edges of steps.
 constexpr double kSpentShare = 0.8;
 /// Part of the slack that may be spent at once, after a window at the latest. The rest comes with time: what a new
 /// relay has in its first window, so that however many lives of a relay in one window have no more than one.
@@ -34,7 +34,7 @@
     if (steps_.empty() || steps_.back().number != number) {
         steps_.push_back({number, 0, 0});
     }
-    while (steps_.front().number <= number - stepsIn(bound_.window) - kCarriedSteps) {
+    while (steps_.front().number <= number - stepsIn(bound_.window)) {
         steps_.pop_front();
     }
     return steps_.back();
@@ -60,7 +60,7 @@
     return partOfSlack(relays) * (stock + (1 - kStockShare) * windows);
 }
 
-/// One more repeat has to fit into every span that ends now.
+/// One more repeat has to fit into every span that ends now. Nothing is carried into that of a whole window.
 bool RepeatBudget::hasRoom(std::size_t relays, double slack_share) const {
     const auto oldest = steps_.back().number - stepsIn(bound_.window);
     double repeats = 1;
@@ -68,7 +68,8 @@
     auto carried = steps_.rbegin();
     for (auto it = steps_.rbegin(); it != steps_.rend() && it->number > oldest; ++it) {
         repeats += it->repeats;
-        for (; carried != steps_.rend() && carried->number >= it->number - kCarriedSteps; ++carried) {
+        const auto from = std::max(it->number - kCarriedSteps, oldest + 1);
+        for (; carried != steps_.rend() && carried->number >= from; ++carried) {
             first += carried->first;
         }
         const double slack = slack_share * slackOver(*it, relays);
