--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -87,6 +87,14 @@
              fleet.instance(machine).options().work = 700ms;
          }
      }},
+    {"nodes stopped in turn while instances shed",
+     [](sim::SidecarFleet& fleet) {
+         for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+             at(fleet, std::chrono::milliseconds(500 + 1300 * machine),
+                [&fleet, machine] { fleet.cycleNode(machine); });
+         }
+         at(fleet, 4s, [&fleet] { everyInstance(fleet, [](sim::InstanceOptions& options) { options.sheds = 0.3; }); });
+     }},
     {"instances drain",
      [](sim::SidecarFleet& fleet) {
          for (const std::size_t machine : {0U, 3U, 6U}) {
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -30,6 +30,7 @@
 constexpr int kResends = 3;
 constexpr double kSlowness = 8;
 constexpr double kErrorShare = 0.4;
+constexpr double kShedShare = 0.5;
 constexpr double kLostShare = 0.3;
 constexpr double kSpoiledShare = 0.3;
 
@@ -62,6 +63,8 @@
         {"instance-drain", Scope::kNone, false, &F::drainInstance, &F::startInstance},
         {"instance-slow", Scope::kNone, false, &F::slowInstance, &F::mendInstance},
         {"instance-errors", Scope::kNone, false, &F::failInstance, &F::mendInstance},
+        {"instance-sheds", Scope::kNone, false, &F::shedAtInstance, &F::mendInstance},
+        {"service-sheds", Scope::kNone, false, &F::shedAtService, &F::mendService},
         {"answers-lost", Scope::kNone, false, &F::loseAnswers, &F::mendInstance},
         {"answers-unsigned", Scope::kNone, false, &F::spoilAnswers, &F::mendInstance},
         {"instance-hang", Scope::kNone, false, &F::hangInstance, &F::mendInstance},
@@ -244,6 +247,28 @@
     fleet_.node(node).instance->faults().errors = kErrorShare;
 }
 
+void FaultInjector::shedAtInstance(std::size_t node) {
+    fleet_.node(node).instance->faults().sheds = kShedShare;
+}
+
+/// All instances of the service that the node's belongs to.
+void FaultInjector::shedAtService(std::size_t node) {
+    eachOfService(node, [this](std::size_t other) { shedAtInstance(other); });
+}
+
+void FaultInjector::mendService(std::size_t node) {
+    eachOfService(node, [this](std::size_t other) { mendInstance(other); });
+}
+
+void FaultInjector::eachOfService(std::size_t node, const std::function<void(std::size_t)>& action) {
+    const auto service = fleet_.node(node).instance_options.service;
+    for (std::size_t other = 0; other < fleet_.size(); ++other) {
+        if (fleet_.node(other).instance_options.service == service) {
+            action(other);
+        }
+    }
+}
+
 void FaultInjector::loseAnswers(std::size_t node) {
     fleet_.node(node).instance->faults().lost_answers = kLostShare;
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,10 @@
     void drainInstance(std::size_t node);
     void slowInstance(std::size_t node);
     void failInstance(std::size_t node);
+    void shedAtInstance(std::size_t node);
+    void shedAtService(std::size_t node);
+    void mendService(std::size_t node);
+    void eachOfService(std::size_t node, const std::function<void(std::size_t)>& action);
     void loseAnswers(std::size_t node);
     void spoilAnswers(std::size_t node);
     void hangInstance(std::size_t node);
--- a/tests/standins/instance.h
+++ b/tests/standins/instance.h
@@ -34,6 +34,7 @@
 struct InstanceFaults {
     double slowness = 1;          ///< Factor of the work.
     double errors = 0;            ///< Share of the runs that end with a failure of their own.
+    double sheds = 0;             ///< Share of the arrivals that it refuses to run, whether or not it has room.
     double lost_answers = 0;      ///< Share of the runs whose connection closes in place of an answer.
     double unsigned_answers = 0;  ///< Share of the answers that come without their signature.
     bool hangs = false;           ///< Runs never end.
@@ -71,6 +72,10 @@
     [[nodiscard]] bool isUp() const { return server_ != nullptr; }
     [[nodiscard]] bool isDraining() const { return is_draining_; }
     [[nodiscard]] const std::string& id() const { return id_; }
+    /// The id of the call that a run makes at an instance.
+    static std::string callId(const std::string& request, const std::string& instance) {
+        return request + "+" + instance;
+    }
     [[nodiscard]] const InstanceOptions& options() const { return options_; }
 
 private:
--- a/tests/unit/soak/checks_test.cc
+++ b/tests/unit/soak/checks_test.cc
@@ -165,6 +165,18 @@
              it.arrive("browse", "c1");
          }
      }},
+    {"calls of repeated runs", "repeats stay within their bound",
+     [](Evidence& it) {
+         for (int count = 0; count < 60; ++count) {
+             it.arrive("browse", "other" + std::to_string(count));  // Allow the repeats of this service itself.
+         }
+         for (int count = 0; count < 7; ++count) {
+             const auto run = "c" + std::to_string(count);
+             it.arrive("browse", run);
+             it.arrive("browse", run);
+             it.arrive("desk", run + "+i3-1");
+         }
+     }},
     {"few repeats", "",
      [](Evidence& it) {
          for (int count = 0; count < 5; ++count) {
