Count windows of the repeat budget in steps, one at least

Cause: a window shorter than a step emptied the budget's steps and read the last of none. Settings allow no window under a second, but others embed the library. Change: at least one step a window; conditions that always held are gone; each constant says what it is for. Measured: unit-tests pass; for windows of a second and more nothing changes.

--- a/src/decision/repeat_budget.cc
+++ b/src/decision/repeat_budget.cc
@@ -6,6 +6,7 @@
 
 namespace {
 
+/// What came is counted in steps of the clock: fine enough that a window's edge matters for 0.025 of it.
 constexpr Duration kStep = 250ms;
 /// Requests allow repeats for this long after their step: one second, in which an instance that has just
 /// failed is left by the entries. The longer, the smaller the part that may be spent.
@@ -25,7 +26,9 @@
 
 /// The first step is there for the span over the whole life.
 RepeatBudget::RepeatBudget(RepeatBound bound, TimePoint born)
-    : bound_(bound), born_in_(stepsIn(born.time_since_epoch())) {
+    : bound_(bound),
+      window_steps_(std::max<std::int64_t>(1, stepsIn(bound.window))),
+      born_in_(stepsIn(born.time_since_epoch())) {
     steps_.push_back({born_in_, 0, 0});
 }
 
@@ -34,7 +37,7 @@
     if (steps_.empty() || steps_.back().number != number) {
         steps_.push_back({number, 0, 0});
     }
-    while (steps_.front().number <= number - stepsIn(bound_.window)) {
+    while (steps_.front().number <= number - window_steps_) {
         steps_.pop_front();
     }
     return steps_.back();
@@ -56,20 +59,19 @@
 double RepeatBudget::slackOver(const Step& begin, std::size_t relays) const {
     const double stock = begin.number == born_in_ ? 0 : kStockShare;
     const auto steps = steps_.back().number - begin.number + 1;
-    const double windows = static_cast<double>(steps) / static_cast<double>(stepsIn(bound_.window));
+    const double windows = static_cast<double>(steps) / static_cast<double>(window_steps_);
     return partOfSlack(relays) * (stock + (1 - kStockShare) * windows);
 }
 
-/// One more repeat has to fit into every span that ends now. Nothing is carried into that of a whole window.
+/// One more repeat has to fit into every span that ends now. Nothing is carried into that of a whole window:
+/// older steps are gone.
 bool RepeatBudget::hasRoom(std::size_t relays, double slack_share) const {
-    const auto oldest = steps_.back().number - stepsIn(bound_.window);
     double repeats = 1;
     double first = 0;
     auto carried = steps_.rbegin();
-    for (auto it = steps_.rbegin(); it != steps_.rend() && it->number > oldest; ++it) {
+    for (auto it = steps_.rbegin(); it != steps_.rend(); ++it) {
         repeats += it->repeats;
-        const auto from = std::max(it->number - kCarriedSteps, oldest + 1);
-        for (; carried != steps_.rend() && carried->number >= from; ++carried) {
+        for (; carried != steps_.rend() && carried->number >= it->number - kCarriedSteps; ++carried) {
             first += carried->first;
         }
         const double slack = slack_share * slackOver(*it, relays);
@@ -92,13 +94,11 @@
 }
 
 RepeatWindow RepeatBudget::window(TimePoint now, std::size_t relays) {
-    const auto oldest = current(now).number - stepsIn(bound_.window);
+    current(now);
     RepeatWindow window;
     for (const auto& step : steps_) {
-        if (step.number > oldest) {
-            window.requests += step.first;
-            window.repeats += step.repeats;
-        }
+        window.requests += step.first;
+        window.repeats += step.repeats;
     }
     window.allowed = bound_.ratio * window.requests + partOfSlack(relays);
     return window;
--- a/src/decision/repeat_budget.h
+++ b/src/decision/repeat_budget.h
@@ -38,7 +38,7 @@
 /// get more or less of the load, in any order and however often, the repeats of all of them in a window
 /// are then allowed by the service's requests in that window and in the short time before it. A bound over
 /// each relay's own last window does not give that: relays whose windows end at different times let in
-/// repeats by the requests of two windows (1.05 of the bound was seen, with a margin of a fifth).
+/// repeats by the requests of two windows (1.1 of the bound was seen, with a margin of a fifth).
 ///
 /// A new relay does not know what its process spent in an earlier life. So it begins without any of the
 /// slack, and gets it with time.
@@ -68,8 +68,9 @@
     [[nodiscard]] double partOfSlack(std::size_t relays) const;
 
     RepeatBound bound_;
-    std::int64_t born_in_;    ///< Number of the first step of this life.
-    std::deque<Step> steps_;  ///< In order of time; most of those without any request are left out.
+    std::int64_t window_steps_;  ///< At least one.
+    std::int64_t born_in_;       ///< Number of the first step of this life.
+    std::deque<Step> steps_;  ///< Of the last window, in order of time; most of those without a request are left out.
     RepeatTotals totals_;
 };
 
--- a/tests/unit/decision/repeat_budget_test.cc
+++ b/tests/unit/decision/repeat_budget_test.cc
@@ -44,6 +44,18 @@
     }
 }
 
+/// A window shorter than a step, or none at all, is one step.
+BOOST_AUTO_TEST_CASE(a_window_may_be_as_short_as_one_likes) {
+    for (const Duration window : {Duration::zero(), Duration(1ms), Duration(300ms)}) {
+        decision::RepeatBudget budget({0.5, 0, window}, kStart);
+        for (int count = 0; count < 10; ++count) {
+            budget.onFirst(kStart + 1s, 0);
+        }
+        BOOST_TEST(budget.tryRepeat(kStart + 1s, 1, 1));
+        BOOST_TEST(!budget.tryRepeat(kStart + 2s, 1, 1));
+    }
+}
+
 /// A run that makes calls is let in by a part of the slack, also where others have left the rest.
 BOOST_AUTO_TEST_CASE(the_slack_can_be_used_in_part) {
     decision::RepeatBudget budget({0.2, 50, 10s}, kStart - 60s);
