--- a/tests/process/command_line_test.sh
+++ b/tests/process/command_line_test.sh
@@ -95,6 +95,14 @@
 expect "a node that does not answer" 4 'no answer' ctl status --node 127.0.0.1:1
 expect "not in force" 5 'not in force: version=13 node=127.0.0.1:1' \
     ctl table set route/browse.priority 4 --node 127.0.0.1:1 --wait 0.3
+echo 'time=2026-01-01T10:00:01.000 event=repeats service=desk requests=40 inherited=2 granted=5 denied=3 ratio=0.2 slack=5 window_s=10' \
+    > "$work/relay.log"
+expect "repeats summed" 0 'service=desk from_s=36001.0 repeats=7.0 allowed=13.4 requests=42 denied=3' \
+    "$programs/dewcrank" repeats "$work/relay.log"
+expect "repeats without a file" 2 'one log file at least' "$programs/dewcrank" repeats
+expect "repeats of no file" 2 'cannot be read' "$programs/dewcrank" repeats "$work/nowhere.log"
+echo 'no event here' > "$work/empty.log"
+expect "repeats of no line" 2 'no line of these files' "$programs/dewcrank" repeats "$work/empty.log"
 
 start_store --lost-answers 1
 expect "a lost answer is read back" 0 'saved: version=8' ctl table set route/browse.priority 6
