Judge ends of instances also behind what holds their address, blame cancelled runs, and test quarantine by unit

Cause: an instance behind a proxy closes probes instead of refusing them; a run whose caller left just before the end was not among those in flight. Ruled out: taking a frozen or full instance for dead (connects that hang or time out do not count; table in crash_watch_test).

--- a/sim/network.cc
+++ b/sim/network.cc
@@ -93,7 +93,7 @@
     const auto on_timeout = [this, call] {
         const bool may_be_sent = call->is_connected || call->used_idle_connection;
         leave(call);
-        finish(call, {may_be_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent, {}, "timeout"});
+        finish(call, {may_be_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent, {}, std::string(kTimedOut)});
     };
     call->timer = from.startTimer(std::min(timeout, kConnectTimeout), [&from, call, timeout, on_timeout] {
         const bool may_be_sent = call->is_connected || call->used_idle_connection;
@@ -132,7 +132,7 @@
     if (!host->isUp() || is_closed) {
         // On an idle connection the request went out before the reset came back.
         const auto outcome = call->used_idle_connection ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent;
-        finishLater(call, latency(host->zone(), call->from->zone()), {outcome, {}, "connection-closed"});
+        finishLater(call, latency(host->zone(), call->from->zone()), {outcome, {}, std::string(kConnectionClosed)});
         return;
     }
     call->is_connected = true;
@@ -156,7 +156,7 @@
         return;
     }
     const bool is_lost = reply.status == 0;
-    auto result = is_lost ? AttemptResult{AttemptOutcome::kUnknown, {}, "connection-closed"}
+    auto result = is_lost ? AttemptResult{AttemptOutcome::kUnknown, {}, std::string(kConnectionClosed)}
                           : AttemptResult{AttemptOutcome::kAnswered, std::move(reply), ""};
     queue_.schedule(queue_.now() + latency(from, to), call->from, [this, call, from, to, result = std::move(result)] {
         if (call->is_over || isCut(from, to)) {
@@ -225,7 +225,7 @@
     for (const auto& call : lost) {
         if (!isCut(host.zone(), call->from->zone())) {
             finishLater(call, latency(host.zone(), call->from->zone()),
-                        {AttemptOutcome::kUnknown, {}, "connection-closed"});
+                        {AttemptOutcome::kUnknown, {}, std::string(kConnectionClosed)});
         }
     }
     std::vector<CallPtr> own;
--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -87,7 +87,7 @@
         complete();
         return;
     }
-    broken(is_clean_end ? "connection-closed" : "connection-reset");
+    broken(std::string(is_clean_end ? kConnectionClosed : kConnectionReset));
 }
 
 /// Bytes behind an answer are not taken: they make the connection useless.
@@ -124,7 +124,7 @@
         has_strays_ = true;
         parser_.reset(expects_no_body_);
         if (is_broken_) {
-            broken("connection-closed");
+            broken(std::string(kConnectionClosed));
         }
         return;
     }
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -63,7 +63,7 @@
 
     void onTimeout() {
         drop();
-        finish(withoutAnswer("timeout"));
+        finish(withoutAnswer(std::string(kTimedOut)));
     }
 
     [[nodiscard]] AttemptResult withoutAnswer(std::string reason) const {
--- a/src/ports/back_end_port.h
+++ b/src/ports/back_end_port.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "src/base/http_message.h"
 #include "src/base/time.h"
@@ -25,6 +26,22 @@
     std::string reason;  ///< Why there is no answer.
 };
 
+/// Reasons of attempts that have no answer, where more than their text is of use.
+inline constexpr std::string_view kConnectionClosed = "connection-closed";
+inline constexpr std::string_view kConnectionReset = "connection-reset";
+inline constexpr std::string_view kTimedOut = "timeout";
+
+/// True if the other side, or the link, has ended the connection that had the attempt.
+inline bool isConnectionLost(const AttemptResult& result) {
+    return result.outcome == AttemptOutcome::kUnknown &&
+           (result.reason == kConnectionClosed || result.reason == kConnectionReset);
+}
+
+/// True if a connection was not to be had, and that was said at once. One that hangs may be taken later.
+inline bool isRefused(const AttemptResult& result) {
+    return result.outcome == AttemptOutcome::kNotSent && result.reason != kTimedOut;
+}
+
 /// A running attempt; destroying the handle cancels it and suppresses its callback.
 class Attempt {
 public:
--- a/src/quarantine/exchange.h
+++ b/src/quarantine/exchange.h
@@ -18,6 +18,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/quarantine/quarantine.h"
+#include "src/quarantine/run_ledger.h"
 
 namespace dewcrank::quarantine {
 
@@ -35,14 +36,6 @@
     std::size_t first_asked = 2;
 };
 
-/// What ran when an instance ended.
-struct CrashNotice {
-    std::string instance;
-    std::size_t runs = 0;
-    std::vector<Fingerprint> suspects;
-    std::vector<Fingerprint> quarantined;  ///< One at most, unless relays let several suspects run at a time.
-};
-
 /// The exchange of one relay with the others of its service.
 class Exchange {
 public:
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -6,10 +6,9 @@
 
 namespace {
 
-/// A probe may go out on a kept connection that has just been closed as well; the next one opens a new one.
+/// A probe may go out on a kept connection that has just been closed as well; the next one opens a new one. An
+/// instance that closes each of them is not there either: its address is held by something in between.
 constexpr int kProbes = 3;
-/// The reason of an attempt whose time is up: a connection that is not refused may be taken later.
-const std::string kTimeout = "timeout";
 
 }  // namespace
 
@@ -37,14 +36,14 @@
     request.method = "GET";
     request.path = probe_path_;
     request.headers.set("Host", address_);
-    probe_ = instances_.send(
-        address_, std::move(request), knobs_.probe_timeout, [this, probes_left](const AttemptResult& result) {
-            if (result.reason != kTimeout && result.outcome == AttemptOutcome::kUnknown && probes_left > 1) {
-                probe(probes_left - 1);
-            } else {
-                judge(result.reason != kTimeout && result.outcome == AttemptOutcome::kNotSent);
-            }
-        });
+    probe_ = instances_.send(address_, std::move(request), knobs_.probe_timeout,
+                             [this, probes_left](const AttemptResult& result) {
+                                 if (isConnectionLost(result) && probes_left > 1) {
+                                     probe(probes_left - 1);
+                                 } else {
+                                     judge(isConnectionLost(result) || isRefused(result));
+                                 }
+                             });
 }
 
 void CrashWatch::onRefused() {
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -18,9 +18,6 @@
 /// many there are is not known to a relay; in the deployments that were looked at, up to two.
 constexpr double kCallersOfService = 2;
 
-/// The reason of attempts whose time is up: their instance may still be at work.
-const std::string kTimeoutReason = "timeout";
-
 bool promisesNotRun(int status) {
     return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
 }
@@ -41,6 +38,7 @@
       queue_(clock, knobs.queue),
       trials_(clock, knobs.trials),
       crash_watch_(clock, instances, instance_address_, knobs.crash_watch),
+      runs_(clock, log, quarantine),
       repeats_(knobs.repeats, clock.now()),
       census_(clock, std::move(share_of)),
       demand_(knobs.demand),
@@ -235,6 +233,8 @@
     auto deadline = running.request.deadline;
     running.run = call_graph_.onRunBegan(running.sent, running.request.route, lineage, &deadline);
     const auto remaining = deadline - running.sent;
+    runs_.onSent(number,
+                 {running.id, running.request.route, running.request.instance, running.fingerprint, running.is_trial});
     request.headers.set(names_.expected_instance, running.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(remaining)));
     running.attempt =
@@ -246,24 +246,17 @@
 void RelayService::onAttemptEnded(Number number, AttemptResult result) {
     const auto& running = *running_[number];
     const auto& instance = running.request.instance;
-    const bool is_broken = result.outcome == AttemptOutcome::kUnknown && result.reason != kTimeoutReason;
-    if (is_broken && instance != ended_instance_ && instance == instance_.record().id()) {
+    if (isConnectionLost(result) && instance != ended_instance_ && instance == instance_.record().id()) {
         broken_.push_back({number, std::move(result)});
-        crash_watch_.onBroken(runningAt(instance));
+        crash_watch_.onBroken(runs_.runningAt(instance));
         return;
     }
-    if (result.outcome == AttemptOutcome::kNotSent && result.reason != kTimeoutReason) {
+    if (isRefused(result)) {
         crash_watch_.onRefused();
     }
     finish(number, judge(running, std::move(result)));
 }
 
-std::size_t RelayService::runningAt(const std::string& instance) const {
-    return static_cast<std::size_t>(std::count_if(running_.begin(), running_.end(), [&](const auto& entry) {
-        return entry.second->run != 0 && entry.second->request.instance == instance;
-    }));
-}
-
 void RelayService::onCrashJudged(bool has_ended) {
     auto broken = std::exchange(broken_, {});
     if (has_ended) {
@@ -282,7 +275,7 @@
     const auto& record = instance_.record();
     if (record.id() != seen_instance_) {
         const auto former = std::exchange(seen_instance_, record.id());
-        if (!is_leaving_ && runningAt(former) > 0) {
+        if (!is_leaving_ && runs_.runningAt(former) > 0) {
             onInstanceEnded(former);
         }
     }
@@ -297,43 +290,12 @@
         return;
     }
     ended_instance_ = instance;
-    const auto notice = noticeOf(instance);
-    log_.write(Event("instance_crashed")
-                   .with("instance", instance)
-                   .with("runs", notice.runs)
-                   .with("suspects", notice.suspects.size())
-                   .with("quarantined", notice.quarantined.size()));
-    signal_crashed_.emit(notice);
+    signal_crashed_.emit(runs_.blame(instance));
     if (instance_.record().id() == instance) {
         instance_.onUnreachable();
     }
 }
 
-/// Of all that ran there, the one suspect is to blame; the others are suspected.
-quarantine::CrashNotice RelayService::noticeOf(const std::string& instance) {
-    quarantine::CrashNotice notice;
-    notice.instance = instance;
-    for (const auto& [number, running] : running_) {
-        if (running->run == 0 || running->request.instance != instance) {
-            continue;
-        }
-        ++notice.runs;
-        if (running->is_trial) {
-            quarantine_.convict(running->fingerprint);
-            notice.quarantined.push_back(running->fingerprint);
-            log_.write(Event("request_quarantined")
-                           .with("request", running->id)
-                           .with("fingerprint", quarantine::textOf(running->fingerprint))
-                           .with("route", running->request.route)
-                           .with("instance", instance)
-                           .with("left_ms", toMilliseconds(quarantine_.left(running->fingerprint))));
-        } else if (quarantine_.suspect(running->fingerprint)) {
-            notice.suspects.push_back(running->fingerprint);
-        }
-    }
-    return notice;
-}
-
 RelayResult RelayService::judge(const Running& running, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kAnswered) {
         instance_.onAnswered();
@@ -400,6 +362,7 @@
 void RelayService::finish(Number number, RelayResult result) {
     auto ended = running_.extract(number);
     auto& running = *ended.mapped();
+    runs_.onEnded(number);
     const bool is_answered = result.outcome == RelayOutcome::kAnswered;
     onRunEnded(running, is_answered && isSuccess(result.answer.status));
     const auto time = is_answered ? clock_.now() - running.sent : Duration::zero();
@@ -422,6 +385,7 @@
         return;
     }
     auto& running = *cancelled.mapped();
+    runs_.onCancelled(number);
     onRunEnded(running, false);
     running.attempt.reset();
     leaveQueues(running, Duration::zero());
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -23,8 +23,8 @@
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
-#include "src/quarantine/exchange.h"
 #include "src/quarantine/quarantine.h"
+#include "src/quarantine/run_ledger.h"
 #include "src/relay/caller_census.h"
 #include "src/relay/crash_watch.h"
 #include "src/relay/instance_queue.h"
@@ -127,11 +127,9 @@
         Number number = 0;
         AttemptResult result;
     };
-    [[nodiscard]] std::size_t runningAt(const std::string& instance) const;
     void onInstanceChanged();
     void onCrashJudged(bool has_ended);
     void onInstanceEnded(const std::string& instance);
-    [[nodiscard]] quarantine::CrashNotice noticeOf(const std::string& instance);
     RelayResult judge(const Running& running, AttemptResult result);
     RelayResult judgeAnswer(const Running& running, HttpAnswer answer);
     void onRunEnded(const Running& running, bool is_whole);
@@ -149,6 +147,7 @@
     InstanceQueue queue_;
     InstanceQueue trials_;  ///< Of suspects: lets one go at a time.
     CrashWatch crash_watch_;
+    quarantine::RunLedger runs_;
     std::vector<Broken> broken_;  ///< Until the watch has judged.
     std::string seen_instance_;   ///< Whose runs are counted as lost if another one comes without its leave.
     std::string ended_instance_;  ///< The last one that was found to have ended by itself.
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -12,6 +12,7 @@
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
+#include "src/quarantine/exchange.h"
 #include "src/relay/relay_service.h"
 
 namespace dewcrank::sidecar {
--- /dev/null
+++ b/tests/unit/quarantine/exchange_test.cc
@@ -0,0 +1,163 @@
+#include "src/quarantine/exchange.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+#include "src/adapters/seeded_random.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+using quarantine::Standing;
+
+namespace {
+
+constexpr quarantine::Fingerprint kOne = 17;
+constexpr quarantine::Fingerprint kTwo = 23;
+constexpr std::size_t kRelays = 12;
+
+wire::NodeRecord recordOf(const std::string& name) {
+    wire::NodeRecord record;
+    record.set_name(name);
+    record.set_incarnation(1);
+    record.set_address(name);
+    record.mutable_instance()->set_id("i-" + name);
+    record.mutable_instance()->set_service("leaf");
+    return record;
+}
+
+/// Delivers to the exchange at an address, unless that is cut off.
+class Wire : public BackEndPort {
+public:
+    explicit Wire(Clock& clock) : clock_(clock) {}
+    AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout, Callback callback) override {
+        ++sent;
+        auto attempt = std::make_unique<Running>();
+        const bool is_lost = address == cut || !exchanges.contains(address);
+        attempt->timer = clock_.startTimer(is_lost ? timeout : 1ms, [=, this, callback = std::move(callback)] {
+            AttemptResult result;
+            result.outcome = is_lost ? AttemptOutcome::kUnknown : AttemptOutcome::kAnswered;
+            if (!is_lost) {
+                result.answer = exchanges.at(address)->handle(request);
+            }
+            callback(result);
+        });
+        return attempt;
+    }
+    std::map<std::string, quarantine::Exchange*> exchanges;
+    std::string cut;
+    int sent = 0;
+
+private:
+    struct Running : Attempt {
+        TimerHandle timer;
+    };
+    Clock& clock_;
+};
+
+/// One relay and what it needs.
+struct Relay {
+    Relay(tests::VirtualTime& time, Wire& wire, const std::string& relay_name)
+        : name(relay_name),
+          directory(time.clock, recordOf(name)),
+          known(time.clock, {}),
+          exchange(time.clock, random, log, wire, directory, known, "leaf", {}) {
+        wire.exchanges[name] = &exchange;
+        exchange.start();
+    }
+    std::string name;
+    adapters::SeededRandom random{1};
+    tests::RecordingLog log;
+    fleet::NodeDirectory directory;
+    quarantine::Quarantine known;
+    quarantine::Exchange exchange;
+};
+
+struct ExchangeFixture {
+    ExchangeFixture() {
+        for (std::size_t number = 0; number < kRelays; ++number) {
+            relays.push_back(std::make_unique<Relay>(time, wire, "n" + std::to_string(number)));
+        }
+        for (auto& relay : relays) {
+            introduce(*relay);
+        }
+        time.advance(10ms);
+        wire.sent = 0;
+    }
+    void introduce(Relay& relay) const {
+        for (std::size_t number = 0; number < kRelays; ++number) {
+            const auto name = "n" + std::to_string(number);
+            if (name != relay.name) {
+                relay.directory.merge(recordOf(name));
+            }
+        }
+    }
+    /// What ran when the first relay's instance ended.
+    void tellCrash() {
+        relays[0]->known.convict(kOne);
+        relays[0]->known.suspect(kTwo);
+        relays[0]->exchange.tell({"i-n0", 2, {kTwo}, {kOne}});
+    }
+
+    tests::VirtualTime time;
+    Wire wire{time.clock};
+    std::vector<std::unique_ptr<Relay>> relays;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_quarantine_exchange, ExchangeFixture)
+
+BOOST_AUTO_TEST_CASE(every_relay_of_the_service_is_told_at_once_and_nothing_is_sent_without_news) {
+    time.advance(10s);
+    BOOST_TEST(wire.sent == 0);
+    tellCrash();
+    time.advance(2ms);
+    for (auto& relay : relays) {
+        BOOST_TEST((relay->known.standing(kOne) == Standing::kQuarantined), relay->name);
+        BOOST_TEST((relay->known.standing(kTwo) == Standing::kSuspect), relay->name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_was_cut_off_has_it_soon_after) {
+    wire.cut = "n5";
+    tellCrash();
+    time.advance(5s);
+    BOOST_TEST((relays[5]->known.standing(kOne) == Standing::kClear));
+    wire.cut = "";
+    time.advance(3s);
+    BOOST_TEST((relays[5]->known.standing(kOne) == Standing::kQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_starts_anew_asks_for_suspects_as_well) {
+    tellCrash();
+    time.advance(2ms);
+    relays[5] = std::make_unique<Relay>(time, wire, "n5");
+    introduce(*relays[5]);
+    time.advance(5ms);
+    BOOST_TEST((relays[5]->known.standing(kOne) == Standing::kQuarantined));
+    BOOST_TEST((relays[5]->known.standing(kTwo) == Standing::kSuspect));
+}
+
+/// One relay that has seen it end well clears it at the one that has told.
+BOOST_AUTO_TEST_CASE(a_good_end_elsewhere_clears_it_everywhere) {
+    relays[3]->known.onEndedWell(kOne);
+    relays[3]->known.onEndedWell(kTwo);
+    tellCrash();
+    time.advance(4s);
+    for (auto& relay : relays) {
+        BOOST_TEST((relay->known.standing(kOne) == Standing::kClear), relay->name);
+    }
+    BOOST_TEST((relays[0]->known.standing(kTwo) == Standing::kClear));
+    BOOST_TEST((relays[3]->known.standing(kTwo) == Standing::kClear));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_read_is_refused_with_a_line) {
+    HttpRequest request;
+    request.body = "\xff\xff\xff";
+    BOOST_TEST(relays[0]->exchange.handle(request).status == 400);
+    BOOST_REQUIRE(relays[0]->log.lines.size() == 1U);
+    BOOST_TEST(relays[0]->log.lines[0].find("event=quarantine_refused") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
