Test crashing requests at 60 relays and as calls of runs

Cause: open questions of the incident: several nodes at once, a large service, calls of runs. Ruled out: nothing. Change: two cases of simulation_crashing_request. Conclusion: bounded by twice what comes at once; not run against the former code.

--- a/tests/simulation/crashing_request_test.cc
+++ b/tests/simulation/crashing_request_test.cc
@@ -232,4 +232,55 @@
     }
 }
 
+/// It comes in at three of 60 machines at the same time: three instances end at once, and three more while it is
+/// tried alone at each of them; then it is known at all 60.
+BOOST_AUTO_TEST_CASE(all_relays_of_a_large_service_learn_of_it) {
+    constexpr std::size_t kMachines = 60;
+    constexpr std::size_t kAtOnce = 3;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        auto large = services({kRead});
+        large[0].machines = kMachines;
+        sim::SidecarFleet fleet(seed, large);
+        fleet.putTable("leaf", "leaf", "leaf");
+        fleet.runFor(12s);
+        fleet.generateLoad(kLoad, fleet.queue().now() + kLoadTime, 0.3);
+        for (std::size_t place = 0; place < kAtOnce; ++place) {
+            sendAgain(fleet, kRead, true, 410ms, 7 * place);
+        }
+        fleet.runFor(kLoadTime + 4s);
+        const auto runs = runsOf(fleet, kRead).size();
+        BOOST_TEST(runs <= 2 * kAtOnce, "seed " << seed << ": " << runs << " runs");
+        BOOST_TEST(fleet.breaches().empty(), "seed " << seed);
+    }
+}
+
+/// The call that every run makes ends the instances below. Those that are in flight at once end all three of them,
+/// and once more as each is tried alone; the runs above get their answers, and their instances live on.
+BOOST_AUTO_TEST_CASE(a_call_of_runs_that_ends_instances_is_kept_from_them) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        sim::InstanceOptions desk;
+        desk.service = "desk";
+        desk.slots = 60;
+        desk.inner_host = "inner.example";
+        desk.fails_with_calls = true;
+        auto both = services({"/inner/x"});
+        both.push_back({desk, kInstances});
+        sim::SidecarFleet fleet(seed, both);
+        fleet.putTable("desk", "desk", "leaf");
+        fleet.runFor(12s);
+        fleet.generateLoad(kLoad, fleet.queue().now() + kLoadTime, 0.3);
+        fleet.runFor(kLoadTime + 4s);
+        std::set<std::string> ended;
+        for (const auto& run : fleet.runs()) {
+            if (run.path == "/inner/x") {
+                ended.insert(run.instance);
+            }
+        }
+        BOOST_TEST(ended.size() <= 2 * kInstances, "seed " << seed << ": " << ended.size() << " instances");
+        for (const auto& breach : fleet.breaches()) {
+            BOOST_ERROR("seed " << seed << ": " << breach.promise << ": " << breach.detail);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
