--- /dev/null
+++ b/tests/unit/relay/relay_crash_test.cc
@@ -0,0 +1,166 @@
+/// What a relay does when its instance ends: whom it suspects, whom it tries, whom it refuses.
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "src/relay/relay_service.h"
+#include "tests/support/fakes.h"
+
+using namespace dewcrank;
+using relay::RelayReason;
+
+namespace {
+
+/// Keeps what it is sent until it is told how that ends. Probes end as `probe` says, at once.
+class TestedInstance : public BackEndPort {
+public:
+    explicit TestedInstance(Clock& clock) : clock_(clock) {}
+    AttemptHandle send(const std::string&, HttpRequest request, Duration, Callback callback) override {
+        if (request.path == "/health") {
+            auto attempt = std::make_unique<Running>();
+            attempt->timer =
+                clock_.startTimer(1ms, [result = probe, callback = std::move(callback)] { callback(result); });
+            return attempt;
+        }
+        paths.push_back(request.path);
+        callbacks.push_back(std::move(callback));
+        return std::make_unique<Attempt>();
+    }
+    void endAll(AttemptOutcome outcome, const std::string& reason) {
+        paths.clear();
+        for (auto& callback : std::exchange(callbacks, {})) {
+            AttemptResult result;
+            result.outcome = outcome;
+            result.answer.status = 500;
+            result.reason = reason;
+            callback(result);
+        }
+    }
+    AttemptResult probe{AttemptOutcome::kNotSent, {}, "connect-failed"};
+    std::vector<std::string> paths;  ///< Of what it has.
+
+private:
+    struct Running : Attempt {
+        TimerHandle timer;
+    };
+    Clock& clock_;
+    std::vector<Callback> callbacks;
+};
+
+struct RelayFixture {
+    RelayFixture() {
+        time.advance(1s);
+        relay.signalCrashed().connect([this](const quarantine::CrashNotice& it) { notices.push_back(it); });
+        beat("i1", 1);
+    }
+    void beat(const std::string& id, std::uint64_t sequence) {
+        instance::Heartbeat heartbeat;
+        heartbeat.id = id;
+        heartbeat.slots = 20;
+        heartbeat.sequence = sequence;
+        local.onHeartbeat(heartbeat);
+    }
+    void start(const std::string& path) {
+        relay::RelayRequest request;
+        request.request.path = path;
+        request.instance = local.record().id();
+        request.deadline = time.clock.now() + 2s;
+        request.longest_wait = 1s;
+        relay.start(std::move(request), [this](const relay::RelayResult& result) { reasons.push_back(result.reason); });
+        time.advance(1ms);
+    }
+    /// All connections of the instance break.
+    void breakAll() {
+        reasons.clear();
+        instances.endAll(AttemptOutcome::kUnknown, "connection-closed");
+        time.advance(20ms);
+    }
+    void answerAll() {
+        reasons.clear();
+        instances.endAll(AttemptOutcome::kAnswered, "");
+        time.advance(1ms);
+    }
+
+    tests::VirtualTime time;
+    tests::RecordingLog log;
+    TestedInstance instances{time.clock};
+    instance::LocalInstance local{time.clock, 8s};
+    quarantine::Quarantine quarantine{time.clock, {}};
+    const HeaderNames names;
+    relay::RelayService relay{
+        time.clock, log, instances, local, quarantine, names, "i:1", [](const std::string&) { return 1.0; }, {}};
+    std::vector<quarantine::CrashNotice> notices;
+    std::vector<RelayReason> reasons;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(unit_relay_crash, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(suspects_are_tried_one_by_one_and_the_one_that_ends_the_next_instance_is_refused) {
+    start("/a");
+    start("/b");
+    breakAll();
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(notices[0].suspects.size() == 2U);
+    BOOST_TEST((reasons == std::vector{RelayReason::kInstanceEnded, RelayReason::kInstanceEnded}));
+    BOOST_TEST(!local.isReady());
+    beat("i2", 1);
+    start("/a");
+    start("/b");
+    start("/other");
+    BOOST_TEST(instances.paths == (std::vector<std::string>{"/a", "/other"}), boost::test_tools::per_element());
+    answerAll();
+    BOOST_TEST(instances.paths == std::vector<std::string>{"/b"}, boost::test_tools::per_element());
+    start("/other");
+    breakAll();
+    BOOST_REQUIRE(notices.size() == 2U);
+    BOOST_TEST(notices[1].quarantined.size() == 1U);
+    BOOST_TEST(notices[1].suspects.empty());  // The other one has ended well just before.
+    beat("i3", 1);
+    reasons.clear();
+    start("/b");
+    BOOST_TEST((reasons == std::vector{RelayReason::kQuarantined}));
+    start("/a");
+    BOOST_TEST(instances.paths == std::vector<std::string>{"/a"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_connection_of_an_instance_that_lives_blames_nobody) {
+    instances.probe = {AttemptOutcome::kAnswered, {}, ""};
+    start("/a");
+    breakAll();
+    BOOST_TEST((reasons == std::vector{RelayReason::kNoWholeAnswer}));
+    BOOST_TEST(notices.empty());
+    BOOST_TEST(local.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_end_blames_nobody) {
+    start("/a");
+    local.onLeave("i1");
+    breakAll();
+    BOOST_TEST(notices.empty());
+}
+
+/// An instance without power breaks no connection: another one in its place tells its end.
+BOOST_AUTO_TEST_CASE(another_instance_in_place_of_one_that_did_not_leave_tells_its_end) {
+    start("/a");
+    beat("i2", 1);
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(notices[0].instance == "i1");
+    BOOST_TEST(notices[0].suspects.size() == 1U);
+}
+
+/// Taken for dead by mistake, it goes on with heartbeats under its id: its true end is noticed all the same.
+BOOST_AUTO_TEST_CASE(an_instance_that_was_taken_for_dead_by_mistake_counts_again) {
+    start("/a");
+    breakAll();
+    BOOST_REQUIRE(notices.size() == 1U);
+    beat("i1", 2);
+    BOOST_TEST(local.isReady());
+    start("/b");
+    breakAll();
+    BOOST_TEST(notices.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
