--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -281,6 +281,7 @@
     }
     is_leaving_ = record.state() == wire::INSTANCE_DRAINING || record.state() == wire::INSTANCE_GONE;
     if (instance_.isReady()) {
+        ended_instance_.clear();  // Also if it was this one: its heartbeat says that it lives.
         queue_.setLimit(limitFor(record.slots()));
     }
 }
