Show that runs which are lost before the end of an instance is told are forgotten, red

Cause: a soak of 180 nodes, whose driver ran out of descriptors so that probes hung, noticed two of the ends that one request brought about; a slow node reads closed connections over longer than the watch waits. Ruled out: waiting longer for all (holds up the repeat of every lost answer).

--- a/tests/unit/relay/relay_crash_test.cc
+++ b/tests/unit/relay/relay_crash_test.cc
@@ -37,6 +37,12 @@
             callback(result);
         }
     }
+    void endSome(std::size_t count, AttemptOutcome outcome, const std::string& reason) {
+        std::vector<Callback> rest(callbacks.begin() + static_cast<std::ptrdiff_t>(count), callbacks.end());
+        callbacks.resize(count);
+        endAll(outcome, reason);
+        callbacks.insert(callbacks.end(), rest.begin(), rest.end());
+    }
     AttemptResult probe{AttemptOutcome::kNotSent, {}, "connect-failed"};
     std::vector<std::string> paths;  ///< Of what it has.
 
@@ -151,6 +157,31 @@
     BOOST_TEST(notices[0].suspects.size() == 1U);
 }
 
+/// A node that has little processor time reads the closed connections over a while, a few at a time.
+BOOST_AUTO_TEST_CASE(runs_whose_closed_connections_are_read_late_are_suspected_all_the_same) {
+    for (int number = 0; number < 12; ++number) {
+        start("/" + std::to_string(number));
+    }
+    for (int turn = 0; turn < 4; ++turn) {
+        instances.endSome(3, AttemptOutcome::kUnknown, "connection-closed");
+        time.advance(30ms);
+    }
+    BOOST_REQUIRE(!notices.empty());
+    BOOST_TEST(quarantine.suspectCount() == 12U);
+}
+
+/// Whether it has ended could not be found out at once: its probes hang. Another one in its place tells.
+BOOST_AUTO_TEST_CASE(runs_that_were_lost_before_another_instance_came_are_suspected) {
+    instances.probe = {AttemptOutcome::kNotSent, {}, "timeout"};
+    start("/a");
+    breakAll();
+    BOOST_TEST(notices.empty());
+    time.advance(3s);
+    beat("i2", 1);
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(notices[0].suspects.size() == 1U);
+}
+
 /// Taken for dead by mistake, it goes on with heartbeats under its id: its true end is noticed all the same.
 BOOST_AUTO_TEST_CASE(an_instance_that_was_taken_for_dead_by_mistake_counts_again) {
     start("/a");
