--- a/src/quarantine/run_ledger.h
+++ b/src/quarantine/run_ledger.h
@@ -19,7 +19,7 @@
     std::string instance;
     std::size_t runs = 0;
     std::vector<Fingerprint> suspects;
-    std::vector<Fingerprint> quarantined;  ///< One at most, unless a trial was cancelled just before.
+    std::vector<Fingerprint> quarantined;  ///< One at most.
 };
 
 /// A request that was sent to an instance.
@@ -31,8 +31,9 @@
     bool is_trial = false;  ///< The one suspect that may run there.
 };
 
-/// Runs of a relay's instance, those that were cancelled just now included: an instance may go on for a moment
-/// with what its caller has left.
+/// Runs of a relay's instance. Those that were cancelled just now count: an instance may go on for a moment with what
+/// its caller has left. So do those whose connection was lost lately: the end of the instance may be told later, by
+/// a node that reads slowly, or by the next instance in its place.
 class RunLedger {
 public:
     using Number = std::uint64_t;
@@ -41,27 +42,35 @@
         : clock_(clock), log_(log), quarantine_(quarantine) {}
 
     void onSent(Number number, Run run) { runs_[number] = std::move(run); }
+    /// Answered, or known not to have been sent.
     void onEnded(Number number) { runs_.erase(number); }
     void onCancelled(Number number);
-    /// Those that were not cancelled.
+    /// Its connection has broken.
+    void onLost(Number number);
+    /// Those that go on.
     [[nodiscard]] std::size_t runningAt(const std::string& instance) const;
+    /// True if an end of this instance would be blamed on any run.
+    [[nodiscard]] bool holdsAny(const std::string& instance);
     /// An instance has ended by itself: the one suspect that ran there is to blame, and everything else that ran
     /// there is suspected from now on.
     CrashNotice blame(const std::string& instance);
 
 private:
-    struct Cancelled {
+    /// A run that is over, and until when it counts.
+    struct Former {
         Run run;
-        TimePoint at{};
+        TimePoint until{};
     };
-    void blame(const Run& run, CrashNotice* notice);
-    void forgetCancelled();
+    void keep(Number number, Duration memory);
+    void forgetOld();
+    [[nodiscard]] std::vector<const Run*> runsOf(const std::string& instance) const;
+    void convict(const Run& run, CrashNotice* notice);
 
     Clock& clock_;
     EventLog& log_;
     Quarantine& quarantine_;
     std::map<Number, Run> runs_;
-    std::deque<Cancelled> cancelled_;  ///< In order of time.
+    std::deque<Former> former_;  ///< kMostFormer at most; the oldest first.
 };
 
 }  // namespace dewcrank::quarantine
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -253,6 +253,7 @@
     }
     for (auto& it : broken) {
         if (const auto found = running_.find(it.number); found != running_.end()) {
+            runs_.onLost(it.number);
             finish(it.number, judge(*found->second, std::move(it.result)));
         }
     }
@@ -264,7 +265,7 @@
     const auto& record = instance_.record();
     if (record.id() != seen_instance_) {
         const auto former = std::exchange(seen_instance_, record.id());
-        if (!is_leaving_ && runs_.runningAt(former) > 0) {
+        if (!is_leaving_ && runs_.holdsAny(former)) {
             onInstanceEnded(former);
         }
     }
