Let a soak have up to 90 nodes, and say why not more

Cause: soaks had nine nodes; with 180 the driver ran out of its 20,000 descriptors (two for each connection between nodes). Ruled out: raising the limit.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -15,8 +15,9 @@
 enum class Scope { kNode, kAll, kStore, kNone };
 
 constexpr Duration kStopGap = 1500ms;
-/// Of nine nodes; the last one is back some seconds after it was stopped.
-constexpr Duration kStopInTurnLength = 9 * kStopGap + 4s;
+/// Of all nodes, nine of them with that gap, more with a smaller one; the last is back some seconds after its stop.
+constexpr std::size_t kUsualNodes = 9;
+constexpr Duration kStopInTurnLength = kUsualNodes * kStopGap + 4s;
 constexpr Duration kLinkDelay = 120ms;
 constexpr Duration kStoreDelay = 400ms;
 constexpr Duration kTableGap = 250ms;
@@ -173,7 +174,7 @@
     Duration wait{};
     for (std::size_t node = 0; node < fleet_.size(); ++node) {
         timers_.push_back(loop_.startTimer(wait, [this, node] { stopNode(node); }));
-        wait += kStopGap;
+        wait += kStopGap * kUsualNodes / fleet_.size();
     }
 }
 
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -15,6 +15,13 @@
 
 namespace dewcrank::soak {
 
+struct Fleet::Service {
+    const char* name;
+    Duration work;
+    std::uint32_t slots;
+    bool calls_inner;
+};
+
 namespace {
 
 using Json = nlohmann::json;
@@ -33,14 +40,9 @@
 /// Routes that come with a new table and stay.
 constexpr std::uint64_t kMostExtraRoutes = 20;
 
-/// The services: two that callers ask, which both call a third.
-struct Service {
-    const char* name;
-    Duration work;
-    std::uint32_t slots;
-    bool calls_inner;
-};
-constexpr Service kServices[] = {{"browse", 40ms, 20, true}, {"desk", 60ms, 20, true}, {"leaf", 20ms, 12, false}};
+/// Two that callers ask, which both call a third.
+constexpr Fleet::Service kServices[] = {
+    {"browse", 40ms, 20, true}, {"desk", 60ms, 20, true}, {"leaf", 20ms, 12, false}};
 
 /// Each node has an address of its own on loopback, which no outgoing connection takes a port of: such
 /// connections come from 127.0.0.1. The process's id keeps soaks that run side by side apart.
@@ -60,9 +62,10 @@
 
 }  // namespace
 
-Fleet::Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed)
+Fleet::Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies)
     : loop_(loop),
       directory_(std::move(directory)),
+      copies_(copies),
       random_(seed),
       seen_(loop, platform::headerNames()),
       client_(loop, adapters::HttpLimits{}),
@@ -72,20 +75,11 @@
 
 Result<void> Fleet::prepare() {
     BOOST_LEAF_ASSIGN(store_address_, store_.listen({kLoopback, 0}));
-    std::size_t number = 0;
-    for (const auto& service : kServices) {
-        for (const auto* zone : kZones) {
-            auto node = std::make_unique<FleetNode>();
-            node->name = std::string(service.name) + "-" + zone;
-            node->zone = zone;
-            node->instance_options.service = service.name;
-            node->instance_options.zone = zone;
-            node->instance_options.slots = service.slots;
-            node->instance_options.work = service.work;
-            node->instance_options.inner_host = service.calls_inner ? kInnerHost : "";
-            node->instance_options.inner_path = kInnerRoute;
-            nodes_.push_back(std::move(node));
-            BOOST_LEAF_CHECK(prepareNode(number++));
+    for (std::size_t copy = 0; copy < copies_; ++copy) {
+        for (const auto& service : kServices) {
+            for (const auto* zone : kZones) {
+                BOOST_LEAF_CHECK(addNode(service, zone, copy));
+            }
         }
     }
     putTable();
@@ -99,6 +93,20 @@
     return {};
 }
 
+Result<void> Fleet::addNode(const Service& service, const std::string& zone, std::size_t copy) {
+    auto node = std::make_unique<FleetNode>();
+    node->name = std::string(service.name) + "-" + zone + (copy == 0 ? "" : "-" + std::to_string(copy));
+    node->zone = zone;
+    node->instance_options.service = service.name;
+    node->instance_options.zone = zone;
+    node->instance_options.slots = service.slots;
+    node->instance_options.work = service.work;
+    node->instance_options.inner_host = service.calls_inner ? kInnerHost : "";
+    node->instance_options.inner_path = kInnerRoute;
+    nodes_.push_back(std::move(node));
+    return prepareNode(nodes_.size() - 1);
+}
+
 Result<void> Fleet::prepareNode(std::size_t number) {
     auto& node = *nodes_[number];
     auto port = kFirstPort;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -48,7 +48,11 @@
 /// and waits with a start while there is a file NAME.held.
 class Fleet {
 public:
-    Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed);
+    /// One of the services, and how its instances work.
+    struct Service;
+
+    /// @param copies nodes of each service in each zone.
+    Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies);
 
     /// Listens with all stand-ins and proxies, and writes the settings and the list of nodes.
     Result<void> prepare();
@@ -72,6 +76,7 @@
     [[nodiscard]] const std::vector<std::string>& callerRoutes() const { return caller_routes_; }
 
 private:
+    Result<void> addNode(const Service& service, const std::string& zone, std::size_t copy);
     Result<void> prepareNode(std::size_t number);
     void askReadiness(std::size_t number);
     void look();
@@ -79,6 +84,7 @@
 
     adapters::EventLoop& loop_;
     std::string directory_;
+    std::size_t copies_;
     adapters::SeededRandom random_;
     Observations seen_;
     adapters::HttpClient client_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -29,6 +29,9 @@
 constexpr double kLeastServedAtEnd = 0.9;
 constexpr Duration kJudgedEnd = 4s;
 constexpr std::size_t kShownBreaches = 20;
+/// 90 nodes: each keeps connections to all others, of which each takes two descriptors of this process, whose proxies
+/// are between them: 16,000 of the 20,000 that a process may have.
+constexpr std::size_t kMostCopies = 10;
 constexpr Duration kNever = std::chrono::hours(24);
 
 struct Options {
@@ -36,6 +39,7 @@
     std::uint64_t seed = 1;
     Duration length{};
     double rate = 0;
+    std::size_t copies = 1;
     std::vector<std::string> only;
     std::vector<std::string> faults;  ///< Given instead of drawn.
     bool is_untimed = false;          ///< Promises with a bound in time are not judged.
@@ -47,7 +51,7 @@
 public:
     explicit Soak(Options options)
         : options_(std::move(options)),
-          fleet_(loop_, options_.directory, options_.seed),
+          fleet_(loop_, options_.directory, options_.seed, options_.copies),
           callers_(loop_, fleet_),
           injector_(loop_, fleet_, callers_, options_.rate) {}
 
@@ -207,6 +211,8 @@
     add("seed", "of faults and arrivals", cxxopts::value<std::uint64_t>()->default_value("1"));
     add("seconds", "of load", cxxopts::value<double>()->default_value("60"));
     add("rate", "requests a second", cxxopts::value<double>()->default_value("80"));
+    add("copies", "nodes of each of the three services in each of the three zones, 10 at most",
+        cxxopts::value<std::size_t>()->default_value("1"));
     add("only", "kinds of faults to draw from", cxxopts::value<std::vector<std::string>>());
     add("fault", "KIND@SECONDS+SECONDS/NODE instead of drawn ones; once for each",
         cxxopts::value<std::vector<std::string>>());
@@ -229,6 +235,7 @@
     options.seed = given["seed"].as<std::uint64_t>();
     options.length = Duration(static_cast<std::int64_t>(given["seconds"].as<double>() * 1e6));
     options.rate = given["rate"].as<double>();
+    options.copies = given["copies"].as<std::size_t>();
     options.is_untimed = given.count("untimed") > 0;
     options.shows_progress = given.count("progress") > 0;
     if (given.count("fault") > 0) {
@@ -245,6 +252,10 @@
         std::cerr << "flags: --seconds and --rate: numbers above 0 are expected\n";
         return kExitBadInput;
     }
+    if (options.copies < 1 || options.copies > kMostCopies) {
+        std::cerr << "flags: --copies: a number from 1 to " << kMostCopies << " is expected\n";
+        return kExitBadInput;
+    }
     const auto names = faultNames();
     for (const auto& name : options.only) {
         if (std::find(names.begin(), names.end(), name) == names.end()) {
