Name a local of the exchange as the linter wants it

Cause: the linter. Ruled out: nothing. Change: a name. Measured: unit_quarantine_exchange passes; the linter was run over all files of this change.

--- a/src/quarantine/exchange.cc
+++ b/src/quarantine/exchange.cc
@@ -143,15 +143,15 @@
     directory_.onReached(received.sender());
     merge(received);
     auto reply = message();
-    const auto addIfWell = [&](Fingerprint fingerprint) {
+    const auto add_if_well = [&](Fingerprint fingerprint) {
         if (quarantine_.hasEndedWellLately(fingerprint)) {
             reply.add_ended_well(fingerprint);
         }
     };
-    std::for_each(received.suspects().begin(), received.suspects().end(), addIfWell);
+    std::for_each(received.suspects().begin(), received.suspects().end(), add_if_well);
     for (const auto& record : received.records()) {
         if (!record.is_released()) {
-            addIfWell(record.fingerprint());
+            add_if_well(record.fingerprint());
         }
     }
     if (received.are_suspects_wanted()) {
