--- a/apps/ctl/run.cc
+++ b/apps/ctl/run.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "apps/ctl/commands.h"
+#include "apps/ctl/crash_report.h"
 #include "apps/ctl/explain.h"
 #include "apps/ctl/repeat_report.h"
 #include "src/adapters/socket_address.h"
@@ -17,7 +18,7 @@
 constexpr std::size_t kLeastExplainWords = 3;
 
 cxxopts::Options makeOptions() {
-    cxxopts::Options options("dewcrank", "Edits the table, shows what is in force, explains requests.");
+    cxxopts::Options options("dewcrank", "Edits the table, shows what is in force, explains requests and crashes.");
     options.positional_help("COMMAND ...");
     auto add = options.add_options();
     add("store", "IP:PORT of the platform's store", cxxopts::value<std::string>()->default_value(""));
@@ -56,6 +57,29 @@
     return runCommand(access, request);
 }
 
+/// A command that reads log files, and nothing else.
+struct LogReport {
+    const char* word;
+    int (*run)(const std::vector<std::string>& files);
+};
+
+constexpr LogReport kLogReports[] = {{"crashes", &reportCrashes}, {"repeats", &reportRepeats}};
+
+/// @return null if the first word is none of them.
+const LogReport* logReportOf(const std::vector<std::string>& words) {
+    const auto* found = std::find_if(std::begin(kLogReports), std::end(kLogReports),
+                                     [&](const LogReport& it) { return !words.empty() && words[0] == it.word; });
+    return found == std::end(kLogReports) ? nullptr : found;
+}
+
+int runLogReport(const LogReport& report, const std::vector<std::string>& words) {
+    if (words.size() < 2) {
+        std::cerr << report.word << ": one log file at least is expected\n";
+        return kExitBadInput;
+    }
+    return report.run({words.begin() + 1, words.end()});
+}
+
 int runWith(const cxxopts::ParseResult& given, const TableStoreFactory& factory) {
     Request request;
     const auto output = given["output"].as<std::string>();
@@ -73,12 +97,8 @@
         std::cout << renderColumns();
         return kExitOk;
     }
-    if (words.size() > 1 && words[0] == "repeats") {
-        return reportRepeats({words.begin() + 1, words.end()});
-    }
-    if (words == std::vector<std::string>{"repeats"}) {
-        std::cerr << "repeats: one log file at least is expected\n";
-        return kExitBadInput;
+    if (const auto* report = logReportOf(words)) {
+        return runLogReport(*report, words);
     }
     if (words.empty() || words[0] != "explain") {
         return runWithStore(given, std::move(request), factory);
--- /dev/null
+++ b/src/quarantine/fingerprint.cc
@@ -0,0 +1,31 @@
+#include "src/quarantine/fingerprint.h"
+
+#include <xxhash.h>
+
+#include <cstdio>
+
+namespace dewcrank::quarantine {
+
+namespace {
+
+/// The seed of each part is the hash of those before it, so that no byte can move from one part to the next.
+std::uint64_t hashOf(std::string_view part, std::uint64_t seed) {
+    return XXH3_64bits_withSeed(part.data(), part.size(), seed);
+}
+
+}  // namespace
+
+Fingerprint fingerprintOf(const HttpRequest& request) {
+    auto hash = hashOf(request.method, 0);
+    hash = hashOf(request.headers.get("host"), hash);
+    hash = hashOf(request.path, hash);
+    return hashOf(request.body, hash);
+}
+
+std::string textOf(Fingerprint fingerprint) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(fingerprint));
+    return text;
+}
+
+}  // namespace dewcrank::quarantine
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -124,6 +124,7 @@
     auto& running = *(running_[number] = std::make_unique<Running>());
     running.request = std::move(request);
     running.id = running.request.request.headers.get(names_.request_id);
+    running.fingerprint = quarantine::fingerprintOf(running.request.request);
     running.callback = std::move(callback);
     if (const auto refusal = refusalOf(running.request); refusal != RelayReason::kNone) {
         refuseLater(number, refusal);
@@ -251,7 +252,9 @@
                    .with("peer", instance_address_)
                    .with("instance", running.request.instance)
                    .with("reason", result.reason)
-                   .with("sent", judged.was_offered ? "yes" : "no"));
+                   .with("sent", judged.was_offered ? "yes" : "no")
+                   .with("route", running.request.route)
+                   .with("fingerprint", quarantine::textOf(running.fingerprint)));
     return judged;
 }
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -21,6 +21,7 @@
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
+#include "src/quarantine/fingerprint.h"
 #include "src/relay/caller_census.h"
 #include "src/relay/instance_queue.h"
 
@@ -133,6 +134,7 @@
     struct Running {
         RelayRequest request;  ///< Its HTTP request is moved out when it is sent.
         std::string id;        ///< Of the request.
+        quarantine::Fingerprint fingerprint = 0;
         Callback callback;
         std::uint64_t ticket = 0;
         bool is_let_in = false;
--- a/tests/process/command_line_test.sh
+++ b/tests/process/command_line_test.sh
@@ -99,9 +99,15 @@
     > "$work/relay.log"
 expect "repeats summed" 0 'service=desk from_s=36001.0 repeats=7.0 allowed=13.4 requests=42 denied=3' \
     "$programs/dewcrank" repeats "$work/relay.log"
+echo 'time=2026-01-01T10:00:01.000 event=instance_failed request=r1 instance=i1 sent=yes route=/work/ fingerprint=aa' > "$work/one.log"
+echo 'time=2026-01-01T10:00:03.500 event=instance_failed request=r2 instance=i2 sent=yes route=/work/ fingerprint=aa' > "$work/two.log"
+expect "crashes of a request" 0 'fingerprint=aa route=/work/ instances=2 from_s=36001.000 to_s=36003.500' \
+    "$programs/dewcrank" crashes "$work/one.log" "$work/two.log"
+expect "crashes without a file" 2 'one log file at least' "$programs/dewcrank" crashes
 expect "repeats without a file" 2 'one log file at least' "$programs/dewcrank" repeats
 expect "repeats of no file" 2 'cannot be read' "$programs/dewcrank" repeats "$work/nowhere.log"
 echo 'no event here' > "$work/empty.log"
+expect "crashes of no line" 2 'no line of these files' "$programs/dewcrank" crashes "$work/empty.log"
 expect "repeats of no line" 2 'no line of these files' "$programs/dewcrank" repeats "$work/empty.log"
 
 start_store --lost-answers 1
--- /dev/null
+++ b/tests/unit/ctl/crash_report_test.cc
@@ -0,0 +1,35 @@
+#include "apps/ctl/crash_report.h"
+
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+using namespace dewcrank;
+
+BOOST_AUTO_TEST_SUITE(unit_ctl_crash_report)
+
+/// One request, under three ids at three nodes, is told from those that ran beside it.
+BOOST_AUTO_TEST_CASE(a_request_that_runs_wherever_instances_end_comes_first) {
+    const std::string failed = " event=instance_failed reason=connection-closed sent=yes route=/work/ ";
+    std::istringstream one("time=2026-01-01T10:00:01.000" + failed + "request=r1 instance=i1 fingerprint=aa\n" +
+                           "time=2026-01-01T10:00:01.000" + failed + "request=r2 instance=i1 fingerprint=bb\n" +
+                           "time=2026-01-01T10:00:01.500 event=request_answered request=r2\n" +
+                           "time=2026-01-01T10:00:05.000" + failed + "request=r3 instance=i4 fingerprint=aa\n");
+    std::istringstream other("time=2026-01-01T10:00:02.000" + failed + "request=r4 instance=i2 fingerprint=aa\n" +
+                             "time=2026-01-01T10:00:02.000" + failed + "request=r5 instance=i2 fingerprint=bb\n" +
+                             "time=2026-01-01T10:00:03.000 event=instance_failed sent=no request=r6 instance=i3\n");
+    ctl::CrashReport report;
+    report.read(one);
+    report.read(other);
+    BOOST_TEST(report.runs().size() == 3U);
+    BOOST_TEST(report.runs().at("i1") == 2U);
+    const auto repeated = report.repeated();
+    BOOST_REQUIRE(repeated.size() == 2U);
+    BOOST_TEST(repeated[0].fingerprint == "aa");
+    BOOST_TEST(repeated[0].instances.size() == 3U);
+    BOOST_TEST(repeated[0].route == "/work/");
+    BOOST_TEST(repeated[0].first == 36001);
+    BOOST_TEST(repeated[0].last == 36005);
+    BOOST_TEST(repeated[1].fingerprint == "bb");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
