--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -123,7 +123,21 @@
     return number;
 }
 
+void SidecarInstance::crashAndRestart() {
+    const auto again = options_;
+    crash();
+    queue_.schedule(queue_.now() + again.restart_after, nullptr, [this, again] {
+        if (!isUp()) {
+            start(again);
+        }
+    });
+}
+
 void SidecarInstance::work(std::uint64_t number) {
+    if (options_.crash_paths.contains(running_[number].request.path)) {
+        running_[number].timer = host_.startTimer(options_.crash_after, [this] { crashAndRestart(); });
+        return;
+    }
     const double factor = 0.5 + random_.unit();
     const auto time = Duration(static_cast<std::int64_t>(static_cast<double>(options_.work.count()) * factor));
     running_[number].timer = host_.startTimer(time, [this, number] { finishRun(number); });
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,15 +23,18 @@
     std::uint32_t slots = 10;
     Duration work = 50ms;
     Duration heartbeat_interval = 1500ms;
-    double answer_lost = 0;         ///< Share of the runs whose answer is lost.
-    double errors = 0;              ///< Share of the runs that end with a failure of their own.
-    double spoiled = 0;             ///< Share of the answers that come without their signature.
-    double sheds = 0;               ///< Share of the arrivals that it refuses to run, whether or not it has room.
-    double late_beats = 0;          ///< Share of the heartbeats that arrive up to 4 s late.
-    std::string inner_host;         ///< Each run first calls this host through its own node; empty: none.
-    int inner_calls = 1;            ///< So many times, one after the other.
-    Duration inner_deadline = 1s;   ///< That a call gives, or what the run has left if that is less.
-    bool fails_with_calls = false;  ///< A run one of whose calls fails ends at once with a failure.
+    double answer_lost = 0;             ///< Share of the runs whose answer is lost.
+    double errors = 0;                  ///< Share of the runs that end with a failure of their own.
+    double spoiled = 0;                 ///< Share of the answers that come without their signature.
+    double sheds = 0;                   ///< Share of the arrivals that it refuses to run, whether or not it has room.
+    double late_beats = 0;              ///< Share of the heartbeats that arrive up to 4 s late.
+    std::string inner_host;             ///< Each run first calls this host through its own node; empty: none.
+    int inner_calls = 1;                ///< So many times, one after the other.
+    Duration inner_deadline = 1s;       ///< That a call gives, or what the run has left if that is less.
+    std::set<std::string> crash_paths;  ///< A run of one of these ends the instance, which starts again later.
+    Duration crash_after = 70ms;        ///< From the begin of such a run.
+    Duration restart_after = 1500ms;    ///< From the crash to the next start.
+    bool fails_with_calls = false;      ///< A run one of whose calls fails ends at once with a failure.
 };
 
 /// One arrival at an instance that was run.
@@ -84,6 +88,7 @@
     void work(std::uint64_t number);
     void callNext(std::uint64_t number, int calls_left);
     void finishRun(std::uint64_t number);
+    void crashAndRestart();
     void failRun(std::uint64_t number);
     HttpAnswer answerOf(const HttpRequest& request, int status) const;
     void beat();
--- /dev/null
+++ b/tests/simulation/crashing_request_test.cc
@@ -0,0 +1,165 @@
+/// Requests that end each instance that runs them, and come again under new ids at other nodes.
+///
+/// Symptom: one request ended 16 instances of a service of three within seconds; 9 of its sends came more
+/// than three seconds after the third had ended. For seconds none of 120 requests a second was served.
+/// Sequence: it runs for 70 ms, its instance ends with 20 to 107 runs, and all of them are repeated at the
+/// next instance together; so are the caller's further tries, at any node. Cause: what ran when an instance
+/// ended was known to the relay beside it alone, by an id that is new with each try, and forgotten with it.
+/// Settled by the lines `event=instance_failed`: tens of runs within 2 ms, connects refused right after, no
+/// id at three instances, and one fingerprint at all of them.
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sim/sidecar_fleet.h"
+#include "src/base/http_status.h"
+
+using namespace dewcrank;
+
+namespace {
+
+constexpr std::size_t kInstances = 3;
+constexpr Duration kLoadTime = 30s;
+constexpr double kLoad = 100;
+constexpr std::uint64_t kSeeds = 5;
+/// From the third crash until the news has to be everywhere.
+constexpr Duration kNewsTime = 3s;
+
+const std::string kRead = "/work/crash?page=1";
+const std::string kSign = "/sign/crash";
+
+std::vector<sim::FleetService> services(const std::set<std::string>& crash_paths) {
+    sim::InstanceOptions options;
+    options.service = "leaf";
+    options.work = 80ms;
+    options.slots = 60;
+    options.crash_paths = crash_paths;
+    return {{options, kInstances}};
+}
+
+/// A path is asked for again and again, each time at another machine.
+void sendAgain(sim::SidecarFleet& fleet, const std::string& path, bool is_repeatable, Duration gap, std::size_t place) {
+    fleet.after(gap, [&fleet, path, is_repeatable, gap, place] {
+        fleet.send(place % fleet.machineCount(), path, is_repeatable);
+        sendAgain(fleet, path, is_repeatable, gap, place + 1);
+    });
+}
+
+void cycleInTurn(sim::SidecarFleet& fleet, Duration after, Duration gap) {
+    for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+        fleet.after(after + gap * static_cast<int>(machine), [&fleet, machine] { fleet.cycleNode(machine); });
+    }
+}
+
+void killNode(sim::SidecarFleet& fleet, Duration after, std::size_t machine) {
+    fleet.after(after, [&fleet, machine] { fleet.killNode(machine); });
+    fleet.after(after + 1s, [&fleet, machine] { fleet.startNode(machine); });
+}
+
+using Fault = std::function<void(sim::SidecarFleet&)>;
+
+const std::map<std::string, Fault> kFaults = {
+    {"none", [](sim::SidecarFleet&) {}},
+    {"nodes stopped in turn, twice",
+     [](sim::SidecarFleet& fleet) {
+         cycleInTurn(fleet, 1s, 2500ms);
+         cycleInTurn(fleet, 12s, 1500ms);
+     }},
+    {"nodes killed in turn",
+     [](sim::SidecarFleet& fleet) {
+         for (int round = 0; round < 3; ++round) {
+             for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+                 killNode(fleet, 2s + 6s * round + 1500ms * static_cast<int>(machine), machine);
+             }
+         }
+     }},
+    {"a zone cut off and back",
+     [](sim::SidecarFleet& fleet) {
+         const auto cut = [&fleet](bool is_cut) {
+             for (const char* other : {"zone1", "zone2"}) {
+                 fleet.network().setCut("zone0", other, is_cut);
+                 fleet.network().setCut(other, "zone0", is_cut);
+             }
+         };
+         fleet.after(1s, [cut] { cut(true); });
+         fleet.after(9s, [cut] { cut(false); });
+     }},
+    {"the store down",
+     [](sim::SidecarFleet& fleet) {
+         fleet.after(Duration(1), [&fleet] { fleet.store().setDown(true); });
+         killNode(fleet, 5s, 1);
+     }},
+};
+
+std::vector<TimePoint> runsOf(const sim::SidecarFleet& fleet, const std::string& path) {
+    std::vector<TimePoint> began;
+    for (const auto& run : fleet.runs()) {
+        if (run.path == path) {
+            began.push_back(run.began);
+        }
+    }
+    return began;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(simulation_crashing_request)
+
+/// Two at a time, one of which may run twice and one of which may not, beside requests of the same routes.
+BOOST_AUTO_TEST_CASE(a_request_that_ends_instances_is_kept_from_them) {
+    for (const auto& [name, fault] : kFaults) {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            sim::SidecarFleet fleet(seed, services({kRead, kSign}));
+            fleet.putTable("leaf", "leaf", "leaf");
+            fleet.runFor(12s);
+            fleet.generateLoad(kLoad, fleet.queue().now() + kLoadTime, 0.3);
+            sendAgain(fleet, kRead, true, 310ms, 0);
+            sendAgain(fleet, kSign, false, 470ms, 1);
+            fault(fleet);
+            fleet.runFor(kLoadTime + 4s);
+            const auto label = name + ", seed " + std::to_string(seed);
+            for (const auto& path : {kRead, kSign}) {
+                const auto began = runsOf(fleet, path);
+                BOOST_TEST(!began.empty(), label);
+                std::size_t late = 0;
+                for (const auto at : began) {
+                    late += began.size() > 3 && at > began[2] + kNewsTime ? 1 : 0;
+                }
+                BOOST_TEST(late <= 3U,
+                           label << ": " << path << " ran " << began.size() << " times, " << late << " of them late");
+            }
+            for (const auto& breach : fleet.breaches()) {
+                BOOST_ERROR(label << ": " << breach.promise << ": " << breach.detail);
+            }
+        }
+    }
+}
+
+/// Nobody else loses more by it than what runs at two crashes of each.
+BOOST_AUTO_TEST_CASE(other_requests_are_served_on) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        sim::SidecarFleet fleet(seed, services({kRead, kSign}));
+        fleet.putTable("leaf", "leaf", "leaf");
+        fleet.runFor(12s);
+        fleet.generateLoad(kLoad, fleet.queue().now() + kLoadTime, 0.3);
+        sendAgain(fleet, kRead, true, 310ms, 0);
+        sendAgain(fleet, kSign, false, 470ms, 1);
+        fleet.runFor(kLoadTime + 4s);
+        std::size_t asked = 0;
+        std::size_t served = 0;
+        for (const auto& request : fleet.requests()) {
+            if (request->path != kRead && request->path != kSign) {
+                ++asked;
+                served += request->status == kHttpOk ? 1 : 0;
+            }
+        }
+        BOOST_TEST(static_cast<double>(served) > 0.97 * static_cast<double>(asked),
+                   "seed " << seed << ": " << served << " of " << asked);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
