--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -104,6 +104,7 @@
     loop_.onSignal(SIGTERM, [this] { onTerminate(); });
     loop_.onSignal(SIGINT, [this] { onTerminate(); });
     loop_.onSignal(SIGHUP, [this] { onReload(); });
+    loop_.signalWoken().connect([this](Duration suspended) { node_.onWoken(suspended); });
     log_.write(Event("node_started")
                    .with("name", settings_.name)
                    .with("zone", settings_.zone)
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -63,6 +63,7 @@
     [[nodiscard]] std::size_t machineCount() const { return machines_.size(); }
     sidecar::SidecarNode* node(std::size_t machine);
     SidecarInstance& instance(std::size_t machine);
+    Host& machineClock(std::size_t machine);
     void runFor(Duration duration) { queue_.runUntil(queue_.now() + duration); }
     /// Does something after a time, whatever host lives then.
     void after(Duration wait, std::function<void()> action) {
@@ -73,6 +74,8 @@
     void killNode(std::size_t machine);
     /// A planned stop and a start after it.
     void cycleNode(std::size_t machine);
+    /// The machine, its instance included, stands still for a time.
+    void suspendMachine(std::size_t machine, Duration duration);
     /// Puts a table whose route `/work/` (repeatable) and `/sign/` (not) go to these services.
     std::uint64_t putTable(const std::string& work, const std::string& sign, const std::string& inner);
 
@@ -90,6 +93,13 @@
 
 private:
     struct Machine;
+    /// Of an instance, with its machine.
+    struct Suspension {
+        std::string instance;
+        TimePoint began{};
+        TimePoint ended{};
+    };
+    [[nodiscard]] bool wasSuspended(const RunRecord& run) const;
     class Log;
     void excuse(const std::string& entry);
     void endNode(std::size_t machine);
@@ -113,7 +123,8 @@
     std::vector<Host*> caller_hosts_;
     std::vector<std::unique_ptr<Host>> owned_hosts_;
     std::map<std::string, TimePoint> drained_;  ///< By instance: when that was acknowledged.
-    std::set<std::string> allowed_;             ///< "path service" that some table has allowed.
+    std::vector<Suspension> suspensions_;
+    std::set<std::string> allowed_;  ///< "path service" that some table has allowed.
     std::uint64_t table_version_ = 0;
 };
 
--- a/sim/virtual_clock.h
+++ b/sim/virtual_clock.h
@@ -20,7 +20,7 @@
 public:
     [[nodiscard]] TimePoint now() const { return now_; }
     /// Runs `action` at `at`. With a host: only if the host lives as it does now, and not
-    /// while it is frozen.
+    /// while it is frozen or suspended.
     void schedule(TimePoint at, Host* host, std::function<void()> action);
     /// Runs all events up to `end`. @return how many were run.
     std::uint64_t runUntil(TimePoint end);
@@ -35,7 +35,12 @@
         Host* host = nullptr;
         std::uint64_t life = 0;
         std::function<void()> action;
+        bool is_timer = false;  ///< Of the host itself.
+        Duration suspended{};   ///< That the host had been suspended for when it was set.
     };
+    void add(Entry entry);
+    /// @return true if a host's entry does not run now, for good or until the host goes on.
+    bool isHeldBack(Entry* entry);
     struct Later {
         bool operator()(const Entry& left, const Entry& right) const {
             return left.at != right.at ? left.at > right.at : left.sequence > right.sequence;
@@ -63,6 +68,12 @@
     void freeze() { is_frozen_ = true; }
     /// What became due while the host was frozen happens now, in order.
     void resume();
+    /// The machine stands still. On waking what has come in is read first, then timers that are due fire.
+    void suspend();
+    void wake();
+    /// False: the host's clock and its timers do not count the time of suspensions, as CLOCK_MONOTONIC does not.
+    void setClockCountsSuspension(bool counts) { counts_suspension_ = counts; }
+    [[nodiscard]] bool countsSuspension() const { return counts_suspension_; }
     /// 1.01: this host's clock gains one second in a hundred.
     void setClockRate(double rate) { clock_rate_ = rate; }
 
@@ -79,7 +90,10 @@
     bool is_frozen_ = false;
     std::uint64_t life_ = 1;
     double clock_rate_ = 1;
-    std::vector<std::function<void()>> postponed_;
+    bool counts_suspension_ = true;
+    TimePoint suspended_at_{};
+    Duration suspended_{};  ///< In all, up to the last waking.
+    std::vector<EventQueue::Entry> postponed_;
 };
 
 }  // namespace dewcrank::sim
--- a/src/adapters/event_loop.cc
+++ b/src/adapters/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <stdexcept>
 #include <utility>
 
@@ -17,30 +18,75 @@
 
 namespace {
 
-class LibeventTimer : public Timer {
+/// Suspensions last for seconds; less than this is the time between two readings of a clock.
+constexpr Duration kLeastSuspension = 20ms;
+
+TimePoint readClock(clockid_t clock) {
+    timespec time{};
+    clock_gettime(clock, &time);
+    const auto whole = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(whole));
+}
+
+}  // namespace
+
+const LoopClocks kMachineClocks{[] { return readClock(CLOCK_BOOTTIME); }, [] { return readClock(CLOCK_MONOTONIC); }};
+
+/// Stands in its loop's list while it is set.
+class EventLoop::LoopTimer : public Timer {
 public:
-    LibeventTimer(event_base* base, Duration delay, std::function<void()> callback)
-        : callback_(std::move(callback)), event_(evtimer_new(base, &LibeventTimer::onFired, this)) {
-        const auto value = toTimeval(delay);
+    LoopTimer(const EventLoop& loop, TimePoint due, std::function<void()> callback)
+        : loop_(loop),
+          due_(due),
+          callback_(std::move(callback)),
+          event_(evtimer_new(loop.base_, &LoopTimer::onFired, this)),
+          next_(loop.timers_) {
+        if (next_ != nullptr) {
+            next_->previous_ = this;
+        }
+        loop_.timers_ = this;
+    }
+    ~LoopTimer() override {
+        unlink();
+        event_free(event_);
+    }
+    LoopTimer(const LoopTimer&) = delete;
+    LoopTimer& operator=(const LoopTimer&) = delete;
+
+    void set(TimePoint now) {
+        const auto value = toTimeval(due_ - now);
         evtimer_add(event_, &value);
     }
-    ~LibeventTimer() override { event_free(event_); }
-    LibeventTimer(const LibeventTimer&) = delete;
-    LibeventTimer& operator=(const LibeventTimer&) = delete;
+    [[nodiscard]] LoopTimer* next() const { return next_; }
 
 private:
     /// The callback is moved out first: it may destroy this timer.
     static void onFired(evutil_socket_t, short, void* self) {
-        const auto callback = std::exchange(static_cast<LibeventTimer*>(self)->callback_, nullptr);
+        auto* it = static_cast<LoopTimer*>(self);
+        it->unlink();
+        const auto callback = std::exchange(it->callback_, nullptr);
         callback();
     }
+    void unlink() {
+        if (!is_linked_) {
+            return;
+        }
+        is_linked_ = false;
+        (previous_ == nullptr ? loop_.timers_ : previous_->next_) = next_;
+        if (next_ != nullptr) {
+            next_->previous_ = previous_;
+        }
+    }
 
+    const EventLoop& loop_;
+    TimePoint due_;
     std::function<void()> callback_;
     event* event_;
+    LoopTimer* previous_ = nullptr;
+    LoopTimer* next_;
+    bool is_linked_ = true;
 };
 
-}  // namespace
-
 struct EventLoop::SignalWatch {
     std::function<void()> callback;
     event* handle = nullptr;
@@ -54,7 +100,8 @@
     SignalWatch& operator=(const SignalWatch&) = delete;
 };
 
-EventLoop::EventLoop() : base_(event_base_new()) {
+EventLoop::EventLoop(const LoopClocks& clocks)
+    : clocks_(clocks), base_(event_base_new()), suspended_(clocks.counts_suspension() - clocks.stands_still()) {
     if (base_ == nullptr) {
         throw std::runtime_error("event loop: cannot be created");
     }
@@ -64,15 +111,36 @@
 
 EventLoop::~EventLoop() {
     signals_.clear();
+    woken_timer_.reset();
     event_base_free(base_);
 }
 
+/// The clock that goes on is read first: time that passes between the two readings never looks like a suspension.
 TimePoint EventLoop::now() const {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    const auto now = clocks_.counts_suspension();
+    const auto suspended = now - clocks_.stands_still();
+    if (suspended - suspended_ >= kLeastSuspension) {
+        onWoken(now, suspended);
+    }
+    return now;
+}
+
+void EventLoop::onWoken(TimePoint now, Duration suspended) const {
+    const auto lasted = suspended - std::exchange(suspended_, suspended);
+    for (auto* it = timers_; it != nullptr; it = it->next()) {
+        it->set(now);
+    }
+    woken_timer_ = setTimer(now, [this, lasted] { signal_woken_.emit(lasted); });
+}
+
+TimerHandle EventLoop::setTimer(TimePoint due, std::function<void()> callback) const {
+    auto timer = std::make_unique<LoopTimer>(*this, due, std::move(callback));
+    timer->set(now());
+    return timer;
 }
 
 TimerHandle EventLoop::startTimer(Duration delay, std::function<void()> callback) {
-    return std::make_unique<LibeventTimer>(base_, delay, std::move(callback));
+    return setTimer(now() + delay, std::move(callback));
 }
 
 void EventLoop::onSignal(int signal_number, std::function<void()> callback) {
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <event2/event.h>
+#include <sigc++/sigc++.h>
 
 #include <functional>
 #include <memory>
@@ -15,10 +16,21 @@
 /// A duration as libevent takes it; a negative one counts as none.
 timeval toTimeval(Duration duration);
 
+/// The clocks that a loop goes by; tests give their own.
+struct LoopClocks {
+    TimePoint (*counts_suspension)();  ///< CLOCK_BOOTTIME: goes on while the machine is suspended.
+    TimePoint (*stands_still)();       ///< CLOCK_MONOTONIC: does not, and libevent's timers go by it.
+};
+extern const LoopClocks kMachineClocks;
+
 /// A libevent loop, and the clock and timers that run on it.
+///
+/// Time goes on while the machine is suspended: deadlines, ages and terms run off, as they do for everybody
+/// else. libevent's timers stand still meanwhile, so they are set anew when the loop next asks for the time;
+/// what has come in is read before those that are due then fire.
 class EventLoop : public Clock {
 public:
-    EventLoop();
+    explicit EventLoop(const LoopClocks& clocks = kMachineClocks);
     ~EventLoop() override;
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
@@ -32,10 +44,22 @@
     void run();
     void stop();
     [[nodiscard]] event_base* base() const { return base_; }
+    /// Emitted from the loop with the time for which the machine was suspended.
+    sigc::signal<void(Duration)>& signalWoken() { return signal_woken_; }
 
 private:
     struct SignalWatch;
+    class LoopTimer;
+    [[nodiscard]] TimerHandle setTimer(TimePoint due, std::function<void()> callback) const;
+    void onWoken(TimePoint now, Duration suspended) const;
+
+    LoopClocks clocks_;
     event_base* base_;
+    // Asking for the time finds out that the machine was suspended, and sets the timers anew.
+    mutable LoopTimer* timers_ = nullptr;  ///< All that are set, as a list.
+    mutable Duration suspended_;           ///< Since the machine's start, as last measured.
+    mutable TimerHandle woken_timer_;
+    sigc::signal<void(Duration)> signal_woken_;
     std::vector<std::unique_ptr<SignalWatch>> signals_;
 };
 
--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -43,6 +43,13 @@
     }
 }
 
+void LocalInstance::onWoken() {
+    if (isReady()) {
+        last_heard_ = clock_.now();
+        watchSilence();
+    }
+}
+
 void LocalInstance::onMisdirected(const std::string& expected) {
     if (record_.id() == expected) {
         known_ids_[expected].is_gone = true;
--- a/src/instance/local_instance.h
+++ b/src/instance/local_instance.h
@@ -39,6 +39,8 @@
     void onUnreachable();
     /// It has answered.
     void onAnswered() { last_heard_ = clock_.now(); }
+    /// The machine was suspended: neither heartbeats nor answers could come.
+    void onWoken();
     /// Another instance than `expected` has answered at the address.
     void onMisdirected(const std::string& expected);
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -193,6 +193,14 @@
     instance_.onLeave(id);
 }
 
+/// What is known here is as old as that: others are asked at once. The instance was suspended as well, so that its
+/// silence says nothing: taken for dead, it would get no call until its next heartbeat, 1.5 s later.
+void SidecarNode::onWoken(Duration suspended) {
+    ports_.log.write(Event("machine_suspended").with("for_ms", toMilliseconds(suspended)));
+    instance_.onWoken();
+    gossip_.introduceSelf();
+}
+
 // Calls --------------------------------------------------------------------
 
 std::optional<HttpAnswer> SidecarNode::refusalOf(const HttpRequest& request, const policy::RoutePtr& route) const {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -71,6 +71,8 @@
 
     void onHeartbeat(const instance::Heartbeat& heartbeat);
     void onInstanceLeave(const std::string& id);
+    /// The machine has been suspended for so long, as its clock tells.
+    void onWoken(Duration suspended);
 
     /// Leads callers away. Calls `led_away` once when callers have had the time to go
     /// elsewhere, from when on no further request may be handed in; then `done` once when
--- /dev/null
+++ b/tests/contract/event_loop_test.cc
@@ -0,0 +1,66 @@
+#include "src/adapters/event_loop.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace dewcrank;
+
+namespace {
+
+/// For how long the machine was suspended, as the clocks of the test say.
+Duration suspended{};
+
+TimePoint steady() {
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+const adapters::LoopClocks kClocks{[] { return steady() + suspended; }, [] { return steady(); }};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(contract_event_loop)
+
+/// The machine is suspended for an hour while timers wait: those that are due then fire at once, in a loop that
+/// does nothing else than ask for the time now and then; the others keep what is left of their time.
+BOOST_AUTO_TEST_CASE(time_and_timers_go_on_while_the_machine_is_suspended) {
+    suspended = {};
+    adapters::EventLoop loop(kClocks);
+    std::vector<int> fired;
+    Duration told{};
+    loop.signalWoken().connect([&](Duration lasted) { told += lasted; });
+    const auto before = loop.now();
+    const auto due = loop.startTimer(std::chrono::minutes(30), [&] { fired.push_back(1); });
+    const auto later = loop.startTimer(std::chrono::hours(1) + 50ms, [&] {
+        fired.push_back(2);
+        loop.stop();
+    });
+    const auto never = loop.startTimer(std::chrono::hours(3), [&] { fired.push_back(3); });
+    auto replaced = loop.startTimer(std::chrono::minutes(40), [&] { fired.push_back(4); });
+    replaced.reset();
+    const auto activity = loop.startTimer(5ms, [&] { loop.now(); });
+    suspended = std::chrono::hours(1);
+    loop.run();
+    BOOST_TEST(fired == (std::vector<int>{1, 2}), boost::test_tools::per_element());
+    BOOST_TEST((loop.now() - before >= std::chrono::hours(1) + 50ms));
+    BOOST_TEST((told == std::chrono::hours(1)));
+}
+
+/// Without a suspension nothing is told, and a timer that is started in another's callback fires once.
+BOOST_AUTO_TEST_CASE(timers_fire_in_order_without_a_suspension) {
+    suspended = std::chrono::hours(2);
+    adapters::EventLoop loop(kClocks);
+    std::vector<int> fired;
+    loop.signalWoken().connect([&](Duration) { fired.push_back(0); });
+    TimerHandle second;
+    const auto first = loop.startTimer(1ms, [&] {
+        fired.push_back(1);
+        second = loop.startTimer(1ms, [&] {
+            fired.push_back(2);
+            loop.stop();
+        });
+    });
+    loop.run();
+    BOOST_TEST(fired == (std::vector<int>{1, 2}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -151,6 +151,24 @@
              });
          }
      }},
+    {"machines suspended in turn",
+     [](sim::SidecarFleet& fleet) {
+         for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+             fleet.after(std::chrono::milliseconds(500 + 1400 * machine),
+                         [&fleet, machine] { fleet.suspendMachine(machine, 2500ms); });
+         }
+     }},
+    {"machines suspended at once while nodes are stopped in turn",
+     [](sim::SidecarFleet& fleet) {
+         for (const std::size_t machine : {0U, 4U, 8U}) {
+             fleet.after(3s, [&fleet, machine] { fleet.suspendMachine(machine, 4s); });
+             fleet.after(9s, [&fleet, machine] { fleet.suspendMachine(machine, 1s); });
+         }
+         for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+             fleet.after(std::chrono::milliseconds(500 + 1500 * machine),
+                         [&fleet, machine] { fleet.cycleNode(machine); });
+         }
+     }},
     {"zone cut off",
      [](sim::SidecarFleet& fleet) {
          const auto cut = [&fleet](bool is_cut) {
@@ -317,4 +335,43 @@
     }
 }
 
+/// A machine is suspended for longer than its requests have, while they wait for instances that are slow. On a clock
+/// that does not count this time they would go on for as long again, and be handed on with a deadline of before.
+BOOST_AUTO_TEST_CASE(time_runs_off_while_a_machine_is_suspended) {
+    for (const bool counts : {true, false}) {
+        auto leaf = instanceOf("leaf", 1s, 1);
+        sim::SidecarFleet fleet(1, {{leaf, 1}});
+        fleet.putTable("leaf", "leaf", "leaf");
+        fleet.machineClock(0).setClockCountsSuspension(counts);
+        fleet.runFor(4s);
+        for (int number = 0; number < 4; ++number) {
+            fleet.send(0, "/work/x", true);
+        }
+        fleet.runFor(100ms);
+        BOOST_TEST(fleet.node(0)->inFlight() > 0U);
+        fleet.suspendMachine(0, 1600ms);  // Their callers wait for 2 s, the route gives them 1.5 s.
+        fleet.runFor(1600ms + 10ms);
+        BOOST_TEST((fleet.node(0)->inFlight() == 0U) == counts);
+    }
+}
+
+/// The silence of an instance whose machine was suspended says nothing: callers are served right after waking.
+BOOST_AUTO_TEST_CASE(instances_are_not_taken_for_dead_after_a_suspension) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        sim::SidecarFleet fleet(seed, {{instanceOf("leaf", 20ms, 10), 2}});
+        fleet.putTable("leaf", "leaf", "leaf");
+        fleet.runFor(4s);
+        for (const std::size_t machine : {0U, 1U}) {
+            fleet.suspendMachine(machine, 20s);
+        }
+        fleet.runFor(20s + 50ms);
+        for (const std::size_t machine : {0U, 1U}) {
+            fleet.send(machine, "/work/x", true);
+        }
+        fleet.runFor(1s);
+        BOOST_TEST(fleet.answered(kHttpOk) == 2U, "seed " << seed);
+        BOOST_TEST(fleet.breaches().empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
