--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -22,6 +22,7 @@
     Duration drain = 2500ms;         ///< After its acknowledgement nothing arrives any more.
     Duration answer_slack = 1500ms;  ///< After a caller's deadline, for an answer.
     Duration unread_slack = 200ms;   ///< A connection closed within it may not have been read.
+    Duration crash_news = 3s;        ///< After the third end of an instance, all relays know the request.
     Duration leave_slack = 1500ms;   ///< After a caller has left, for the end of its run.
     Duration table = 4s;             ///< After its acknowledgement a table is in force at every sound node.
     Duration quiet = 4s;             ///< A node counts as sound so long after its last disturbance.
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -79,6 +79,7 @@
         {"table-change", Scope::kNone, false, &F::changeTable, &F::nothing},
         {"table-storm", Scope::kNone, false, &F::changeTableOften, &F::nothing},
         {"burst", Scope::kNone, false, &F::burst, &F::endBurst},
+        {"crashing-requests", Scope::kNone, false, &F::beginCrashing, &F::endCrashing},
         {"resends", Scope::kNone, false, &F::resend, &F::endResend},
     };
     return all;
@@ -357,6 +358,14 @@
     callers_.setResends(kResends);
 }
 
+void FaultInjector::beginCrashing(std::size_t) {
+    callers_.startCrashing();
+}
+
+void FaultInjector::endCrashing(std::size_t) {
+    callers_.stopCrashing();
+}
+
 void FaultInjector::endResend(std::size_t) {
     callers_.setResends(0);
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -84,6 +84,8 @@
     void endBurst(std::size_t node);
     void resend(std::size_t node);
     void endResend(std::size_t node);
+    void beginCrashing(std::size_t node);
+    void endCrashing(std::size_t node);
     void nothing(std::size_t) {}
 
     adapters::EventLoop& loop_;
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -26,6 +26,8 @@
 constexpr const char* kInnerHost = "inner.example";
 constexpr const char* kInnerRoute = "/inner/";
 constexpr Duration kLookInterval = 1s;
+/// From the end of an instance by one of its runs to its next start.
+constexpr Duration kInstanceRestart = 1500ms;
 constexpr Duration kReadinessTimeout = 900ms;
 constexpr const char* kZones[] = {"north", "east", "south"};
 /// Routes that come with a new table and stay.
@@ -109,6 +111,13 @@
     node.instance =
         std::make_unique<standins::Instance>(loop_, random_, "i" + std::to_string(number), node.heartbeats.text(),
                                              node.callers.text(), platform::headerNames(), seen_);
+    node.instance->onCrash([this, number] {
+        nodes_[number]->restart = loop_.startTimer(kInstanceRestart, [this, number] {
+            if (!nodes_[number]->instance->isUp()) {
+                startInstance(number);
+            }
+        });
+    });
     BOOST_LEAF_AUTO(told, node.to_node->listen({kLoopback, 0}));
     BOOST_LEAF_AUTO(instance, node.to_instance->listen({kLoopback, 0}));
     BOOST_LEAF_AUTO(store, node.to_store->listen({kLoopback, 0}));
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -37,6 +37,7 @@
     std::unique_ptr<FaultProxy> to_node;      ///< From all other nodes.
     std::unique_ptr<FaultProxy> to_instance;  ///< From the node.
     std::unique_ptr<FaultProxy> to_store;     ///< From the node.
+    TimerHandle restart;                      ///< Of the instance, after a run has ended it.
     AttemptHandle readiness_probe;
     int readiness_misses = 2;    ///< In a row; callers leave a node after two.
     std::size_t exits_read = 0;  ///< Lines of its file of exits.
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -23,16 +23,18 @@
 struct CallerRequest {
     std::string id;
     std::string route;  ///< Its path's prefix.
+    std::string path;
     bool is_repeatable = true;
     std::size_t entry = 0;      ///< Number of the node that took it.
     std::uint64_t version = 0;  ///< Of the newest table that was acknowledged when it was sent.
     TimePoint sent{};
     Duration deadline{};
-    TimePoint ended{};      ///< When it was answered, given up, or its caller left; the epoch: not yet.
-    int status = 0;         ///< 0: no answer.
-    bool is_whole = false;  ///< The body is that of an instance for this request.
-    bool was_taken = true;  ///< False if the entry had provably not read it.
-    bool has_left = false;  ///< Its caller left before an answer.
+    TimePoint ended{};            ///< When it was answered, given up, or its caller left; the epoch: not yet.
+    int status = 0;               ///< 0: no answer.
+    bool is_whole = false;        ///< The body is that of an instance for this request.
+    bool is_quarantined = false;  ///< Refused as one that ends instances.
+    bool was_taken = true;        ///< False if the entry had provably not read it.
+    bool has_left = false;        ///< Its caller left before an answer.
 };
 
 /// One run at an instance.
--- a/tests/standins/instance.cc
+++ b/tests/standins/instance.cc
@@ -18,6 +18,8 @@
 /// Ends without an acknowledgement after so long.
 constexpr Duration kLongestDrain = 6s;
 constexpr Duration kInnerMargin = 20ms;
+/// From the begin of a run that ends its instance.
+constexpr Duration kCrashAfter = 70ms;
 constexpr double kLeastWorkFactor = 0.5;  ///< Work is uniform from this to its mirror above 1.
 
 std::int64_t millisecondsIn(std::string_view text) {
@@ -118,6 +120,10 @@
     ++running_;
     run.is_running = true;
     listener_.onRunBegan(options_.service, id_, run.id);
+    if (run.request.path.find(kCrashWord) != std::string::npos) {
+        crashLater(number);
+        return;
+    }
     if (faults_.hangs) {
         return;
     }
@@ -128,6 +134,15 @@
     }
 }
 
+void Instance::crashLater(std::uint64_t number) {
+    runs_.at(number)->timer = loop_.startTimer(kCrashAfter, [this] {
+        crash();
+        if (crashed_) {
+            crashed_();
+        }
+    });
+}
+
 /// A call of the run's own: it ends at the run's deadline.
 void Instance::callInner(std::uint64_t number) {
     auto& run = *runs_.at(number);
--- a/tests/standins/instance.h
+++ b/tests/standins/instance.h
@@ -18,6 +18,9 @@
 
 namespace dewcrank::standins {
 
+/// A run of a path that holds this ends its instance.
+inline constexpr std::string_view kCrashWord = "/crash-";
+
 /// What an instance is.
 struct InstanceOptions {
     std::string service;
@@ -68,6 +71,8 @@
     void crash();
     /// Says that it drains, serves on for a while after that is acknowledged, leaves and ends.
     void drain();
+    /// @param handler called when a run has ended the instance: one whose path holds `kCrashWord`.
+    void onCrash(std::function<void()> handler) { crashed_ = std::move(handler); }
     InstanceFaults& faults() { return faults_; }
     [[nodiscard]] bool isUp() const { return server_ != nullptr; }
     [[nodiscard]] bool isDraining() const { return is_draining_; }
@@ -94,6 +99,7 @@
     void begin(std::uint64_t number);
     void callInner(std::uint64_t number);
     void work(std::uint64_t number);
+    void crashLater(std::uint64_t number);
     void end(std::uint64_t number, int status);
     void forget(std::uint64_t number);
     void answer(const Exchange& exchange, int status, const std::string& id, bool is_signed);
@@ -123,6 +129,7 @@
     AttemptHandle post_;
     TimerHandle beat_timer_;
     TimerHandle leave_timer_;
+    std::function<void()> crashed_;
     std::unique_ptr<adapters::HttpServer> server_;
 };
 
--- a/tests/unit/soak/checks_test.cc
+++ b/tests/unit/soak/checks_test.cc
@@ -183,6 +183,30 @@
              it.arrive("browse", "c1");
          }
      }},
+    {"a request that goes on ending instances", "instances are kept from what ends them",
+     [](Evidence& it) {
+         it.request("/work/", 502).path = "/work/crash-1";
+         for (int count = 0; count < 8; ++count) {
+             it.run("browse");
+             it.time.advance(2s);
+         }
+     }},
+    {"one that is kept from them from the third on", "",
+     [](Evidence& it) {
+         it.request("/work/", 502).path = "/work/crash-1";
+         for (int count = 0; count < 5; ++count) {
+             it.run("browse");
+             it.time.advance(1s);
+         }
+     }},
+    {"more paths refused than instances have ended", "others are not refused for it",
+     [](Evidence& it) {
+         for (const char* path : {"/work/x", "/work/y"}) {
+             auto& request = it.request("/work/", 503);
+             request.path = path;
+             request.is_quarantined = true;
+         }
+     }},
     {"a process that ended", "no process ends by itself",
      [](Evidence& it) { it.seen.onUnexpectedExit("browse-north ended with 134"); }},
 };
