--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -20,6 +20,13 @@
 
 namespace dewcrank::sim {
 
+/// That callers give.
+inline constexpr Duration kCallerDeadline = 2s;
+/// Of the repeats of each service.
+inline constexpr decision::RepeatBound kRepeats{0.05, 12, 10s};
+/// After a caller has left, work may go on for this long.
+inline constexpr Duration kGrace = 500ms;
+
 /// The services of a fleet and how their instances work.
 struct FleetService {
     InstanceOptions instance;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -1,27 +1,19 @@
 #include "src/relay/relay_service.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "src/base/http_status.h"
+#include "src/relay/answer_kind.h"
 
 namespace dewcrank::relay {
 
 namespace {
 
-/// Statuses that promise that a request was not run.
-constexpr std::array<int, 4> kPromises = {kHttpRequestTimeout, kHttpMisdirected, kHttpTooManyRequests,
-                                          kHttpServiceUnavailable};
-
 /// So many services that call the same one may all spend their slack at once without exceeding its own. How
 /// many there are is not known to a relay; in the deployments that were looked at, up to two.
 constexpr double kCallersOfService = 2;
 
-bool promisesNotRun(int status) {
-    return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
-}
-
 }  // namespace
 
 RelayService::RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
@@ -105,11 +97,8 @@
         return number;
     }
     countRequest(running.request);
-    if (quarantine_.standing(running.fingerprint) == quarantine::Standing::kSuspect) {
-        enterTrials(number);
-    } else {
-        enterQueue(number);
-    }
+    const bool is_suspect = quarantine_.standing(running.fingerprint) == quarantine::Standing::kSuspect;
+    is_suspect ? enterTrials(number) : enterQueue(number);
     return number;
 }
 
@@ -326,25 +315,23 @@
 RelayResult RelayService::judgeAnswer(const Running& running, HttpAnswer answer) {
     RelayResult judged;
     judged.was_offered = true;
-    if (answer.headers.has(names_.not_executed) || answer.status == kHttpMisdirected) {
-        if (answer.status == kHttpMisdirected) {
+    switch (kindOf(answer, running.id, names_, knobs_.weakening.takes_unsigned_answers)) {
+        case AnswerKind::kMisdirected:
             instance_.onMisdirected(running.request.instance);
-        }
-        judged.reason = RelayReason::kInstanceRefused;
-        return judged;
-    }
-    const bool is_own = answer.headers.get(names_.request_id) == running.id;
-    const bool is_signed = knobs_.weakening.takes_unsigned_answers ||
-                           (answer.headers.has(names_.server_stamp) && !answer.headers.has("content-encoding"));
-    const bool is_whole = isSuccess(answer.status) ? is_own && is_signed : !promisesNotRun(answer.status);
-    if (!is_whole) {
-        log_.write(Event("answer_spoiled")
-                       .with("request", running.id)
-                       .with("peer", instance_address_)
-                       .with("status", answer.status));
-        judged.outcome = RelayOutcome::kUnknown;
-        judged.reason = RelayReason::kNoWholeAnswer;
-        return judged;
+            [[fallthrough]];
+        case AnswerKind::kNotRun:
+            judged.reason = RelayReason::kInstanceRefused;
+            return judged;
+        case AnswerKind::kSpoiled:
+            log_.write(Event("answer_spoiled")
+                           .with("request", running.id)
+                           .with("peer", instance_address_)
+                           .with("status", answer.status));
+            judged.outcome = RelayOutcome::kUnknown;
+            judged.reason = RelayReason::kNoWholeAnswer;
+            return judged;
+        case AnswerKind::kWhole:
+            break;
     }
     removeHopByHopHeaders(answer.headers);
     judged.outcome = RelayOutcome::kAnswered;
