--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -141,6 +141,9 @@
     settings.knobs.relay.repeats = kRepeats;
     settings.knobs.weakening = weakening_;
     settings.knobs.relay.weakening = weakening_;
+    if (weakening_.suspects_nobody) {
+        settings.knobs.quarantine.suspicion = Duration::zero();
+    }
     machine.node = std::make_unique<sidecar::SidecarNode>(
         sidecar::Ports{*machine.host, random_, *machine.http, *machine.http, *machine.store, *log_}, settings);
     auto* node = machine.node.get();
--- a/src/base/weakening.h
+++ b/src/base/weakening.h
@@ -12,6 +12,7 @@
     bool ignores_gone_callers = false;    ///< What a caller has left goes on.
     bool takes_unsigned_answers = false;  ///< An answer without the instance's signature is an answer.
     bool repeats_without_budget = false;  ///< Repeats are not counted.
+    bool suspects_nobody = false;         ///< What ran when an instance ended is forgotten.
     bool stops_without_waiting = false;   ///< A planned stop ends at once.
 };
 
