Show calls that go to an address which another node has taken, red

Cause: a node is known by its address: whoever answers there counts as it, so its record is used for good. Ruled out: instances with the same id at one address (the model had them; ids are unique now). Change: the simulated fleet ends machines for good and starts others at their addresses; two rows of the table of faults, and a case that counts the calls which go to the taken address.

--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -62,44 +62,55 @@
     }
     for (const auto& service : services) {
         for (std::size_t count = 0; count < service.machines; ++count) {
-            auto machine = std::make_unique<Machine>();
-            const auto number = machines_.size();
-            machine->name = "m" + std::to_string(number);
-            machine->node_address = machine->name + ":nodes";
-            machine->caller_address = machine->name + ":callers";
-            machine->instance_address = machine->name + ":instance";
-            machine->service = service.instance.service;
-            machine->host = std::make_unique<Host>(queue_, zoneOf(number));
-            auto* raw = machine.get();
-            const InstanceNode link{[this, raw](const instance::Heartbeat& heartbeat) {
-                                        if (raw->node == nullptr || !raw->host->isUp()) {
-                                            return false;
-                                        }
-                                        raw->node->onHeartbeat(heartbeat);
-                                        if (heartbeat.is_draining) {
-                                            drained_.try_emplace(heartbeat.id, queue_.now());
-                                        }
-                                        return true;
-                                    },
-                                    [this, raw](const std::string& id) {
-                                        if (raw->node == nullptr || !raw->host->isUp()) {
-                                            return false;
-                                        }
-                                        raw->node->onInstanceLeave(id);
-                                        drained_.try_emplace(id, queue_.now());
-                                        return true;
-                                    }};
-            machine->instance =
-                std::make_unique<SidecarInstance>(queue_, network_, random_, zoneOf(number), machine->instance_address,
-                                                  machine->caller_address, link, records_);
-            machines_.push_back(std::move(machine));
-            startNode(number);
-            machines_[number]->instance->start(service.instance);
-            askReadiness(number);
+            addMachine(service.instance, machines_.size());
         }
     }
 }
 
+/// @param place of its addresses and its zone: those of an earlier machine if that has ended.
+void SidecarFleet::addMachine(const InstanceOptions& options, std::size_t place) {
+    auto machine = std::make_unique<Machine>();
+    const auto number = machines_.size();
+    const auto address = "m" + std::to_string(place);
+    machine->name = "m" + std::to_string(number);
+    machine->node_address = address + ":nodes";
+    machine->caller_address = address + ":callers";
+    machine->instance_address = address + ":instance";
+    machine->service = options.service;
+    machine->host = std::make_unique<Host>(queue_, zoneOf(place));
+    auto* raw = machine.get();
+    const InstanceNode link{[this, raw](const instance::Heartbeat& heartbeat) {
+                                if (raw->node == nullptr || !raw->host->isUp()) {
+                                    return false;
+                                }
+                                raw->node->onHeartbeat(heartbeat);
+                                if (heartbeat.is_draining) {
+                                    drained_.try_emplace(heartbeat.id, queue_.now());
+                                }
+                                return true;
+                            },
+                            [this, raw](const std::string& id) {
+                                if (raw->node == nullptr || !raw->host->isUp()) {
+                                    return false;
+                                }
+                                raw->node->onInstanceLeave(id);
+                                drained_.try_emplace(id, queue_.now());
+                                return true;
+                            }};
+    machine->instance =
+        std::make_unique<SidecarInstance>(queue_, network_, random_, zoneOf(place), machine->instance_address,
+                                          machine->caller_address, link, records_);
+    machines_.push_back(std::move(machine));
+    startNode(number);
+    machines_[number]->instance->start(options);
+    askReadiness(number);
+}
+
+void SidecarFleet::endMachine(std::size_t number) {
+    killNode(number);
+    machines_[number]->instance->crash();
+}
+
 SidecarFleet::~SidecarFleet() {
     attempts_.clear();
 }
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -77,6 +77,10 @@
         queue_.schedule(queue_.now() + wait, nullptr, std::move(action));
     }
 
+    /// A further machine, which takes the addresses and the zone of the one of that number, if that has ended.
+    void addMachine(const InstanceOptions& options, std::size_t place);
+    /// The machine ends for good, with its node and its instance.
+    void endMachine(std::size_t machine);
     void startNode(std::size_t machine);
     void killNode(std::size_t machine);
     /// A planned stop and a start after it.
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -31,7 +31,7 @@
 void SidecarInstance::start(const InstanceOptions& options) {
     host_.restart();
     options_ = options;
-    id_ = address_ + "/" + std::to_string(++starts_);
+    id_ = address_ + "/" + std::to_string(++records_.starts);
     sequence_ = 0;
     is_draining_ = false;
     drain_acknowledged_ = {};
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -58,6 +58,7 @@
 struct InstanceRecords {
     std::vector<RunRecord> runs;
     std::vector<ArrivalRecord> arrivals;
+    std::uint64_t starts = 0;  ///< Of instances: no two have the same id, also at one address.
 };
 
 /// Where heartbeats go.
@@ -113,7 +114,6 @@
     HeaderNames names_;
     InstanceOptions options_;
     std::string id_;
-    std::uint64_t starts_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t last_number_ = 0;
     bool is_draining_ = false;
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -39,6 +39,12 @@
     }
 }
 
+/// A machine ends for good; later a new one, with another service, gets its addresses.
+void replaceMachine(sim::SidecarFleet& fleet, std::size_t machine, Duration after, const sim::InstanceOptions& next) {
+    fleet.after(after, [&fleet, machine] { fleet.endMachine(machine); });
+    fleet.after(after + 2s, [&fleet, machine, next] { fleet.addMachine(next, machine); });
+}
+
 void replaceInstance(sim::SidecarFleet& fleet, std::size_t machine, Duration after, sim::InstanceOptions next) {
     fleet.after(after, [&fleet, machine] { fleet.instance(machine).crash(); });
     fleet.after(after + 2s, [&fleet, machine, next] { fleet.instance(machine).start(next); });
@@ -114,6 +120,23 @@
          replaceInstance(fleet, 2, 3s, instanceOf("leaf", 20ms, 10));
          replaceInstance(fleet, 7, 4s, fleet.instance(0).options());
      }},
+    {"addresses of machines go to nodes of other services",
+     [](sim::SidecarFleet& fleet) {
+         replaceMachine(fleet, 6, 2s, fleet.instance(0).options());
+         replaceMachine(fleet, 1, 5s, instanceOf("leaf", 20ms, 10));
+     }},
+    {"addresses of machines go to others while nodes are killed, a zone is cut off and the store is away",
+     [](sim::SidecarFleet& fleet) {
+         replaceMachine(fleet, 8, 2s, fleet.instance(0).options());
+         fleet.after(3s, [&fleet] { fleet.store().setDown(true); });
+         fleet.after(6s, [&fleet] { fleet.store().setDown(false); });
+         for (const std::size_t machine : {0U, 4U}) {
+             fleet.after(4s, [&fleet, machine] { fleet.killNode(machine); });
+             fleet.after(5s, [&fleet, machine] { fleet.startNode(machine); });
+         }
+         fleet.after(7s, [&fleet] { fleet.network().setCut("zone0", "zone1", true); });
+         fleet.after(9s, [&fleet] { fleet.network().setCut("zone0", "zone1", false); });
+     }},
     {"answers lost",
      [](sim::SidecarFleet& fleet) {
          everyInstance(fleet, [](sim::InstanceOptions& options) { options.answer_lost = 0.1; });
@@ -266,6 +289,23 @@
     BOOST_TEST(fleet.answered(kHttpOk) == fleet.requests().size());
 }
 
+/// The former node's record stays in the directories; whoever answers at its address now is not it, and runs nothing
+/// for it. One call, or one probe, tells that to a node.
+BOOST_AUTO_TEST_CASE(calls_do_not_go_to_an_address_that_another_node_has_taken) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        sim::SidecarFleet fleet(seed, services());
+        fleet.putTable("browse", "desk", "leaf");
+        fleet.runFor(4s);
+        fleet.generateLoad(kLoad, fleet.queue().now() + 16s);
+        const auto others = fleet.machineCount();
+        replaceMachine(fleet, 7, 2s, instanceOf("nobody-calls-it", 20ms, 10));
+        fleet.runFor(20s);
+        const auto strayed = fleet.node(others)->counters().relayed;
+        BOOST_TEST(strayed <= others, "seed " << seed << ": " << strayed << " calls");
+        BOOST_TEST(fleet.breaches().empty());
+    }
+}
+
 /// Callers of a route that may be repeated see hardly any failure of single instances. A relay has most of
 /// its slack only when it is older than a window of the repeat budget: in an earlier life it may have spent
 /// all of it. Failures at a young fleet are tried elsewhere by the ratio; without repeats there are a dozen.
