Add tenants to the table: rows with keys, priority, rate and burst; open routes

Ruled out: a list beside the table (it would need versions and spreading of its own). Change: rows tenant/NAME, adopted, spread, checked and edited like the others. Keys are shown by a fingerprint of 32 bits only, also in errors; a cell of keys takes new keys as they are and present ones by fingerprint.

--- a/src/policy/route_table.cc
+++ b/src/policy/route_table.cc
@@ -26,6 +26,11 @@
         return false;
     }
     table_ = std::make_shared<const wire::RouteTable>(std::move(table));
+    tenants_.build(*table_);
+    tenants_by_name_.clear();
+    for (const auto& tenant : table_->tenants()) {
+        tenants_by_name_[tenant.name()] = &tenant;
+    }
     by_host_.clear();
     for (const auto& route : table_->routes()) {
         by_host_[lowerCase(route.host())].push_back(&route);
@@ -50,6 +55,21 @@
     return route == found->second.end() ? nullptr : RoutePtr(table_, *route);
 }
 
+TenantPtr RouteTable::tenantOf(std::string_view key) const {
+    const auto* holder = tenants_.holderOf(key);
+    return holder == nullptr ? nullptr : TenantPtr(table_, holder);
+}
+
+const wire::Tenant* RouteTable::tenantNamed(const std::string& name) const {
+    const auto found = tenants_by_name_.find(name);
+    return found == tenants_by_name_.end() ? nullptr : found->second;
+}
+
+bool RouteTable::onVersionSeen(std::uint64_t version) {
+    newest_seen_ = std::max(newest_seen_, version);
+    return isBehind();
+}
+
 std::size_t TrafficDivider::next(const wire::Route& route) {
     position_ = std::fmod(position_ + kGoldenFraction, 1.0);
     const auto total = std::accumulate(route.parts().begin(), route.parts().end(), 0.0,
--- a/src/policy/table_rows.cc
+++ b/src/policy/table_rows.cc
@@ -5,6 +5,8 @@
 #include <functional>
 #include <sstream>
 
+#include "src/policy/tenant_index.h"
+
 namespace dewcrank::policy {
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr const char* kStep = "table";
 constexpr const char* kRoute = "route";
 constexpr const char* kService = "service";
+constexpr const char* kTenant = "tenant";
 constexpr const char* kLimits = "limits";
 constexpr const char* kOnlyLimits = "limits/callers";
 constexpr std::uint32_t kLongestMs = 600'000;
@@ -20,6 +23,9 @@
 constexpr std::uint32_t kLeastUrgent = 7;
 constexpr std::uint32_t kMostConnections = 100'000;
 constexpr std::uint32_t kMostWeight = 10'000;
+constexpr double kMostTokens = 1e9;
+/// Before the fingerprint of a key that a tenant has already.
+constexpr char kFingerprintMark = '#';
 
 std::string cellPlace(const std::string& row, const std::string& column) {
     return row + "." + column;
@@ -45,6 +51,7 @@
     const char* meaning;
     std::function<std::string(const Message&)> get;
     std::function<bool(Message*, const std::string&)> set;  ///< False: the value is not allowed.
+    bool is_secret = false;                                 ///< Errors do not repeat the value.
 };
 
 template <typename Message>
@@ -136,6 +143,12 @@
                             &Route::max_attempts, &Route::set_max_attempts),
         numberColumn<Route>("timeout_ms", 1, kLongestMs, "milliseconds that a request is held at most",
                             &Route::timeout_ms, &Route::set_timeout_ms),
+        {"open", "true or false", "true: takes requests without a key where the table has tenants",
+         [](const Route& it) { return std::string(it.is_open() ? "true" : "false"); },
+         [](Route* it, const std::string& value) {
+             it->set_is_open(value == "true");
+             return value == "true" || value == "false";
+         }},
         numberColumn<Route>("objective_ms", 1, kLongestMs, "milliseconds within which an answer is in time",
                             &Route::objective_ms, &Route::set_objective_ms),
     };
@@ -157,6 +170,80 @@
     return columns;
 }
 
+std::string decimalText(double number) {
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
+Column<wire::Tenant> tokensColumn(const char* name, const char* meaning, double (wire::Tenant::*get)() const,
+                                  void (wire::Tenant::*set)(double)) {
+    return {name, "a number from 0 to " + decimalText(kMostTokens), meaning,
+            [get](const wire::Tenant& it) { return decimalText((it.*get)()); },
+            [set](wire::Tenant* it, const std::string& value) {
+                double number = 0;
+                const auto end = value.data() + value.size();
+                const auto result = std::from_chars(value.data(), end, number);
+                const bool is_allowed =
+                    result.ec == std::errc() && result.ptr == end && number >= 0 && number <= kMostTokens;
+                if (is_allowed) {
+                    (it->*set)(number);
+                }
+                return is_allowed;
+            }};
+}
+
+std::string keysText(const wire::Tenant& tenant) {
+    std::string text;
+    for (const auto& key : tenant.keys()) {
+        text += (text.empty() ? "" : " ") + (kFingerprintMark + keyFingerprint(key));
+    }
+    return text;
+}
+
+/// The keys that are to be: new ones as they are, present ones by their fingerprints.
+bool setKeys(wire::Tenant* tenant, const std::string& value) {
+    wire::Tenant read;
+    std::istringstream words(value);
+    std::string word;
+    while (words >> word) {
+        if (word.front() != kFingerprintMark) {
+            read.add_keys(word);
+            continue;
+        }
+        const auto& present = tenant->keys();
+        const auto known = std::find_if(present.begin(), present.end(), [&](const auto& key) {
+            return kFingerprintMark + keyFingerprint(key) == word;
+        });
+        if (known == present.end()) {
+            return false;
+        }
+        read.add_keys(*known);
+    }
+    tenant->mutable_keys()->Swap(read.mutable_keys());
+    return true;
+}
+
+const std::vector<Column<wire::Tenant>>& tenantColumns() {
+    using wire::Tenant;
+    static const std::vector<Column<Tenant>> columns = {
+        {"keys", "new keys, and present ones by their #fingerprints, parted by blanks",
+         "whoever shows one of them is this tenant; shown by fingerprint only", keysText, setKeys, true},
+        {"priority", "a whole number from 0 to " + std::to_string(kLeastUrgent) + ", or -",
+         "of its requests, in place of their routes'; -: their routes'",
+         [](const Tenant& it) { return it.has_priority() ? std::to_string(it.priority()) : std::string("-"); },
+         [](Tenant* it, const std::string& value) {
+             const auto number = numberIn(value, 0, kLeastUrgent);
+             number ? it->set_priority(*number) : it->clear_priority();
+             return number.has_value() || value == "-";
+         }},
+        tokensColumn("rate_per_s", "requests a second over all nodes; 0: no limit", &Tenant::rate_per_s,
+                     &Tenant::set_rate_per_s),
+        tokensColumn("burst", "requests on top of the rate, at once", &Tenant::burst, &Tenant::set_burst),
+    };
+    return columns;
+}
+
 const std::vector<Column<wire::CallerLimits>>& limitColumns() {
     using Limits = wire::CallerLimits;
     static const std::vector<Column<Limits>> columns = {
@@ -201,7 +288,8 @@
     }
     Message changed = *message;
     if (!found->set(&changed, value)) {
-        return stepError(kStep, cellPlace(row, column), gotAndAllowed(value, found->allowed));
+        const auto shown = found->is_secret ? "a value that is not shown" : value;
+        return stepError(kStep, cellPlace(row, column), gotAndAllowed(shown, found->allowed));
     }
     *message = changed;
     return {};
@@ -243,7 +331,7 @@
 }  // namespace
 
 const std::vector<std::string>& rowTypes() {
-    static const std::vector<std::string> types = {kRoute, kService, kLimits};
+    static const std::vector<std::string> types = {kRoute, kService, kTenant, kLimits};
     return types;
 }
 
@@ -254,6 +342,9 @@
     if (type == kService) {
         return infosOf(serviceColumns());
     }
+    if (type == kTenant) {
+        return infosOf(tenantColumns());
+    }
     return type == kLimits ? infosOf(limitColumns()) : std::vector<ColumnInfo>();
 }
 
@@ -269,6 +360,9 @@
     for (const auto& service : table.services()) {
         rows[std::string(kService) + "/" + service.name()] = cellsOf(service, serviceColumns());
     }
+    for (const auto& tenant : table.tenants()) {
+        rows[std::string(kTenant) + "/" + tenant.name()] = cellsOf(tenant, tenantColumns());
+    }
     rows[kOnlyLimits] = cellsOf(table.limits(), limitColumns());
     return rows;
 }
@@ -287,15 +381,19 @@
         auto* service = findIn(table->mutable_services(), name);
         return service == nullptr ? noSuchRow(row) : setIn(service, serviceColumns(), row, column, value);
     }
+    if (rowTypeOf(row) == kTenant) {
+        auto* tenant = findIn(table->mutable_tenants(), name);
+        return tenant == nullptr ? noSuchRow(row) : setIn(tenant, tenantColumns(), row, column, value);
+    }
     return noSuchRow(row);
 }
 
 Result<void> putRow(wire::RouteTable* table, const std::string& row, const RowCells& cells) {
     const auto type = rowTypeOf(row);
     const auto name = nameIn(row);
-    const bool is_known_type = type == kRoute || type == kService;
+    const bool is_known_type = type == kRoute || type == kService || type == kTenant;
     if (row != kOnlyLimits && (!is_known_type || name.empty())) {
-        return stepError(kStep, row, "rows are route/NAME, service/NAME and limits/callers");
+        return stepError(kStep, row, "rows are route/NAME, service/NAME, tenant/NAME and limits/callers");
     }
     if (type == kRoute && findIn(table->mutable_routes(), name) == nullptr) {
         auto* route = table->add_routes();
@@ -303,6 +401,8 @@
         route->set_max_attempts(1);
     } else if (type == kService && findIn(table->mutable_services(), name) == nullptr) {
         table->add_services()->set_name(name);
+    } else if (type == kTenant && findIn(table->mutable_tenants(), name) == nullptr) {
+        table->add_tenants()->set_name(name);
     }
     for (const auto& [column, value] : cells) {
         BOOST_LEAF_CHECK(setCell(table, row, column, value));
@@ -315,6 +415,9 @@
     if (rowTypeOf(row) == kRoute && removeIn(table->mutable_routes(), name)) {
         return {};
     }
+    if (rowTypeOf(row) == kTenant && removeIn(table->mutable_tenants(), name)) {
+        return {};
+    }
     if (rowTypeOf(row) != kService || findIn(table->mutable_services(), name) == nullptr) {
         return noSuchRow(row);
     }
@@ -327,7 +430,29 @@
     return {};
 }
 
+namespace {
+
+/// A key tells which tenant calls, so it belongs to one.
+Result<void> checkTenants(const wire::RouteTable& table) {
+    std::map<std::string_view, std::string_view> owners;
+    for (const auto& tenant : table.tenants()) {
+        const auto row = std::string(kTenant) + "/" + tenant.name();
+        for (const auto& key : tenant.keys()) {
+            const auto [found, is_new] = owners.emplace(key, tenant.name());
+            if (!is_new) {
+                return stepError(kStep, cellPlace(row, "keys"),
+                                 kFingerprintMark + keyFingerprint(key) + " is a key of tenant/" +
+                                     std::string(found->second) + " already");
+            }
+        }
+    }
+    return {};
+}
+
+}  // namespace
+
 Result<void> checkTable(const wire::RouteTable& table) {
+    BOOST_LEAF_CHECK(checkTenants(table));
     for (const auto& route : table.routes()) {
         const auto row = std::string(kRoute) + "/" + route.name();
         for (const auto& column : routeColumns()) {
--- a/tests/unit/policy/table_rows_test.cc
+++ b/tests/unit/policy/table_rows_test.cc
@@ -105,4 +105,41 @@
                "table: service/leaf: there is no such row");
 }
 
+BOOST_AUTO_TEST_CASE(tenants_are_rows_whose_keys_nobody_reads) {
+    auto table = tableOf();
+    const auto set = [&](const char* column, const std::string& value) {
+        return tests::errorOf([&] { return policy::setCell(&table, "tenant/house", column, value); });
+    };
+    BOOST_TEST(
+        tests::errorOf([&] {
+            return policy::putRow(&table, "tenant/house", {{"keys", "secret-1 secret-2"}, {"rate_per_s", "2.5"}});
+        }) == "");
+    BOOST_TEST(table.tenants(0).rate_per_s() == 2.5);
+    BOOST_TEST(!table.tenants(0).has_priority());
+    const auto shown = policy::rowsOf(table).at("tenant/house");
+    BOOST_TEST(shown.at("keys").find("secret") == std::string::npos);
+    BOOST_TEST(shown.at("priority") == "-");
+    // One is taken away and one added; the other one is named by its fingerprint.
+    const auto first = shown.at("keys").substr(0, shown.at("keys").find(' '));
+    BOOST_TEST(set("keys", first + " secret-3") == "");
+    BOOST_TEST(table.tenants(0).keys_size() == 2);
+    BOOST_TEST(table.tenants(0).keys(0) == "secret-1");
+    BOOST_TEST(table.tenants(0).keys(1) == "secret-3");
+    const auto refused = set("keys", "#00000000 secret-4");
+    BOOST_TEST(refused.starts_with("table: tenant/house.keys: "));
+    BOOST_TEST(refused.find("secret-4") == std::string::npos);
+    BOOST_TEST(set("priority", "8") ==
+               "table: tenant/house.priority: got '8', allowed: a whole number from 0 to 7, or -");
+    BOOST_TEST(set("priority", "0") == "");
+    BOOST_TEST(table.tenants(0).has_priority());
+    BOOST_TEST(set("burst", "-1") == "table: tenant/house.burst: got '-1', allowed: a number from 0 to 1e+09");
+    BOOST_TEST(tests::errorOf([&] { return policy::checkTable(table); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::putRow(&table, "tenant/other", {{"keys", "secret-3"}}); }) == "");
+    const auto shared = tests::errorOf([&] { return policy::checkTable(table); });
+    BOOST_TEST(shared.find("tenant/other.keys") != std::string::npos);
+    BOOST_TEST(shared.find("secret") == std::string::npos);
+    BOOST_TEST(tests::errorOf([&] { return policy::removeRow(&table, "tenant/other"); }) == "");
+    BOOST_TEST(tests::errorOf([&] { return policy::checkTable(table); }) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
