Hand shards over, keep no tokens that were not spent, and rank requests by their tenant first

Ruled out: shorter leases (a store away for 4.5 s must not end them). Change: an owner that cannot be confirmed offers its shards; candidates follow each other in time; the former owner is asked to stop and says so. Unspent tokens go back with the next question. The rank of a request is its tenant's priority, then its route's. A relay that cannot tell yet whether instances call a route says so, instead of no.

--- a/src/decision/bottleneck_view.cc
+++ b/src/decision/bottleneck_view.cc
@@ -14,7 +14,7 @@
     auto& it = routes_[route];
     const bool is_first = it.service != service || now - it.reported > 2 * knobs_.memory;
     it.service = service;
-    it.is_inner = report.is_inner;
+    it.is_inner = report.is_inner.value_or(it.is_inner);
     approach(&it.time, toSeconds(report.time), is_first);
     it.reported = now;
     onBelow(&it, report.below);
--- a/src/decision/bottleneck_view.h
+++ b/src/decision/bottleneck_view.h
@@ -26,10 +26,12 @@
 
 /// What a relay tells of a request's route.
 struct RouteReport {
-    ServiceLoad load;       ///< Of the relay's instance.
-    Duration time{};        ///< That the route's requests hold a slot of it for.
-    Bottleneck below;       ///< Of the calls that they make; its service is empty if they make none.
-    bool is_inner = false;  ///< The route is called by instances, not by callers.
+    ServiceLoad load;  ///< Of the relay's instance.
+    Duration time{};   ///< That the route's requests hold a slot of it for.
+    Bottleneck below;  ///< Of the calls that they make; its service is empty if they make none.
+    /// The route is called by instances, not by callers; nothing while the relay cannot tell: one that has just
+    /// started would have its callers refuse the calls of admitted trees.
+    std::optional<bool> is_inner;
 };
 
 /// Constants of the view.
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -53,7 +53,8 @@
     HttpRequest request;     ///< Without what concerns the caller's connection only.
     policy::RoutePtr route;  ///< Never null; stays as it is when the table changes.
     std::string service;
-    std::uint32_t priority = 0;  ///< 0 is the most urgent.
+    std::uint32_t priority = 0;  ///< Of the route; 0 is the most urgent.
+    std::uint32_t rank = 0;      ///< The same after that of its tenant, which goes first.
     TimePoint deadline{};
     Duration caller_deadline{};  ///< The time that the caller gives.
     decision::Lineage lineage;   ///< Taken over from the run that it is a call of.
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -82,14 +82,14 @@
     changeSelf(next);
 }
 
-void NodeDirectory::setQuotaShards(const std::vector<std::uint32_t>& shards) {
-    const auto& present = self_.quota_shards();
-    if (std::equal(present.begin(), present.end(), shards.begin(), shards.end())) {
-        return;
-    }
+void NodeDirectory::setQuotaShards(const std::vector<std::uint32_t>& shards,
+                                   const std::vector<std::uint32_t>& offered) {
     auto next = self_;
     next.mutable_quota_shards()->Assign(shards.begin(), shards.end());
-    changeSelf(next);
+    next.mutable_offered_shards()->Assign(offered.begin(), offered.end());
+    if (next.SerializeAsString() != self_.SerializeAsString()) {
+        changeSelf(next);
+    }
 }
 
 void NodeDirectory::changeSelf(const wire::NodeRecord& next) {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -37,7 +37,8 @@
     /// Replaces what this node says of its instance and of itself.
     void updateSelf(const wire::InstanceRecord& instance, bool is_stopping);
     /// Replaces what this node says of the shards of quotas that it owns.
-    void setQuotaShards(const std::vector<std::uint32_t>& shards);
+    /// @param offered those of them that others may take over.
+    void setQuotaShards(const std::vector<std::uint32_t>& shards, const std::vector<std::uint32_t>& offered);
     /// Merges a record. @return true if it was news.
     bool merge(const wire::NodeRecord& record);
     /// A node whose record is not known yet, from the store's list.
--- a/src/policy/route_table.cc
+++ b/src/policy/route_table.cc
@@ -21,6 +21,11 @@
 
 }  // namespace
 
+std::uint32_t rankOf(const wire::Route& route, const wire::Tenant* tenant) {
+    const auto of_tenant = tenant == nullptr ? 0 : std::min(tenant->priority(), kPriorities - 1);
+    return of_tenant * kPriorities + std::min(route.priority(), kPriorities - 1);
+}
+
 bool RouteTable::adopt(wire::RouteTable table) {
     if (table.version() <= table_->version()) {
         return false;
--- a/src/policy/route_table.h
+++ b/src/policy/route_table.h
@@ -21,6 +21,12 @@
 /// A tenant of one version of the table, which it keeps.
 using TenantPtr = std::shared_ptr<const wire::Tenant>;
 
+/// Values that a priority may have: from 0, the most urgent, to one less.
+inline constexpr std::uint32_t kPriorities = 8;
+/// The order in which requests are refused, the greatest rank first: by the priority of their tenant, if they have
+/// one, and among equals by that of their route.
+std::uint32_t rankOf(const wire::Route& route, const wire::Tenant* tenant);
+
 /// Aggregate: one version of the table, whole. Versions only grow.
 class RouteTable {
 public:
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -24,18 +24,12 @@
       directory_(directory),
       table_(table),
       keeper_(keeper),
-      knobs_(knobs) {}
+      knobs_(knobs) {
+    keeper_.signalTakenOver().connect(
+        [this](std::uint32_t shard, const std::string& former) { takeOver(shard, former); });
+}
 
 QuotaClient::Number QuotaClient::take(const wire::Tenant& tenant, Callback callback) {
-    TokenResult result;
-    auto& it = tenants_[tenant.name()];
-    expire(tenant.name(), &it);
-    if (spendUnspent(&it, &result.token)) {
-        ++totals_.granted;
-        result.answer = TokenAnswer::kGranted;
-        callback(result);
-        return 0;
-    }
     const auto number = ++last_number_;
     auto& waiter = waiters_[number];
     waiter.tenant = tenant.name();
@@ -51,37 +45,23 @@
     waiters_.erase(number);
 }
 
-/// What has expired goes back to its owner, unless that has another term by now.
-void QuotaClient::expire(const std::string& name, Tenant* tenant) {
-    const auto now = clock_.now();
-    std::erase_if(tenant->unspent, [&](const Unspent& it) {
-        if (it.expires > now) {
-            return false;
-        }
-        auto& shard = shards_[it.token.shard];
-        if (shard.term != it.token.term) {
-            shard.to_return.clear();
-            shard.term = it.token.term;
-        }
-        ++shard.to_return[name];
-        return true;
-    });
-}
-
-bool QuotaClient::spendUnspent(Tenant* tenant, Token* token) {
-    if (tenant->unspent.empty()) {
-        return false;
-    }
-    *token = tenant->unspent.back().token;
-    tenant->unspent.pop_back();
-    return true;
-}
-
+/// To its owner, unless that has another term by now.
 void QuotaClient::giveBack(const std::string& tenant, const Token& token) {
     ++totals_.returned;
-    auto& it = tenants_[tenant];
-    expire(tenant, &it);
-    it.unspent.push_back({token, clock_.now() + knobs_.token_life});
+    auto& shard = shards_[token.shard];
+    if (shard.term != token.term) {
+        shard.to_return.clear();
+        shard.term = token.term;
+    }
+    ++shard.to_return[tenant];
+    if (!return_timer_) {
+        return_timer_ = clock_.startTimer(knobs_.return_after, [this] {
+            return_timer_.reset();
+            for (std::uint32_t place = 0; place < kShards; ++place) {
+                ask(place);
+            }
+        });
+    }
 }
 
 const wire::NodeRecord* QuotaClient::ownerOf(std::uint32_t shard) const {
@@ -176,15 +156,25 @@
             line->set_returned(back.mapped());
         }
     }
+    for (const auto& [tenant, count] : shard.to_return) {
+        auto* line = question.add_lines();
+        line->set_tenant(tenant);
+        line->set_returned(count);
+    }
+    shard.to_return.clear();
     return question;
 }
 
 void QuotaClient::ask(std::uint32_t place) {
     auto& shard = shards_[place];
-    if (shard.is_asking || shard.queued.empty()) {
+    if (shard.is_asking || (shard.queued.empty() && shard.to_return.empty())) {
         return;
     }
     const auto* owner = ownerOf(place);
+    if (owner == nullptr && shard.queued.empty()) {
+        shard.to_return.clear();
+        return;
+    }
     if (owner == nullptr) {
         shard.asked = std::exchange(shard.queued, {});
         shard.is_asking = true;
@@ -280,8 +270,39 @@
 
 // Answers --------------------------------------------------------------------
 
+/// The former owner of a shard is asked to stop. Without its answer its lease has to end.
+void QuotaClient::takeOver(std::uint32_t place, const std::string& former) {
+    const auto* node = directory_.find(former);
+    if (node == nullptr || !fleet::NodeDirectory::isReachable(*node)) {
+        return;
+    }
+    wire::QuotaAsk question;
+    question.set_sender(directory_.self().name());
+    question.set_shard(place);
+    question.set_takes_over(true);
+    HttpRequest request;
+    request.method = "POST";
+    request.path = std::string(kQuotaPath);
+    request.body = question.SerializeAsString();
+    takeovers_[place] = nodes_.send(
+        node->record.address(), std::move(request), knobs_.ask_timeout, [this, place](const AttemptResult& result) {
+            const auto ended = takeovers_.extract(place);
+            wire::QuotaGrant answer;
+            if (result.outcome == AttemptOutcome::kAnswered && result.answer.status == kHttpOk &&
+                answer.ParseFromString(result.answer.body)) {
+                keeper_.onHandedOver(place, answer.sender(), answer.incarnation());
+            }
+        });
+}
+
 wire::QuotaGrant QuotaClient::grant(const wire::QuotaAsk& question) {
     wire::QuotaGrant answer;
+    answer.set_sender(directory_.self().name());
+    answer.set_incarnation(directory_.self().incarnation());
+    if (question.takes_over()) {
+        keeper_.handOver(question.shard());
+        return answer;
+    }
     auto* shard = keeper_.granting(question.shard());
     if (shard == nullptr) {
         return answer;
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -30,8 +30,8 @@
     Duration unavailable = 500ms;  ///< That time.
     /// Owners that one request asks at most. At 0.62 of its limit a tenant finds nothing at one in ten of its shards.
     std::uint32_t most_asks = 3;
-    /// A token that was not spent may be used by the tenant's next request here for so long; then it goes back.
-    Duration token_life = 300ms;
+    /// Tokens that were not spent go back with the next question to their owner, or after this.
+    Duration return_after = 100ms;
     /// When a caller beyond its tenant's limit may come back, at the least.
     Duration least_retry_after = 1s;
     Weakening weakening;  ///< Tests only.
@@ -92,12 +92,7 @@
         std::uint32_t asks = 0;
         bool was_denied = false;
     };
-    struct Unspent {
-        Token token;
-        TimePoint expires{};
-    };
     struct Tenant {
-        std::vector<Unspent> unspent;
         std::array<TimePoint, kShards> denied_until{};
     };
     using Waiting = std::map<std::string, std::vector<Number>>;  ///< By tenant, in order of arrival.
@@ -113,8 +108,7 @@
     };
     [[nodiscard]] const wire::NodeRecord* ownerOf(std::uint32_t shard) const;
     [[nodiscard]] std::vector<std::uint32_t> preference(std::uint32_t shards);
-    bool spendUnspent(Tenant* tenant, Token* token);
-    void expire(const std::string& name, Tenant* tenant);
+    void takeOver(std::uint32_t shard, const std::string& former);
     void queue(Number number);
     void ask(std::uint32_t shard);
     void send(std::uint32_t shard, const wire::NodeRecord& owner, const wire::QuotaAsk& question);
@@ -136,6 +130,8 @@
     QuotaClientKnobs knobs_;
     std::array<Shard, kShards> shards_;
     std::map<std::string, Tenant> tenants_;
+    TimerHandle return_timer_;
+    std::map<std::uint32_t, AttemptHandle> takeovers_;  ///< By shard.
     Number last_number_ = 0;
     std::map<Number, Waiter> waiters_;  ///< Those that are called back later.
     QuotaTotals totals_;
--- a/src/quota/shard_keeper.cc
+++ b/src/quota/shard_keeper.cc
@@ -12,6 +12,15 @@
 
 constexpr const char* kLeasePrefix = "shard-";
 
+bool holds(const google::protobuf::RepeatedField<std::uint32_t>& shards, std::uint32_t shard) {
+    return std::find(shards.begin(), shards.end(), shard) != shards.end();
+}
+
+/// It owns the shard, and can have that confirmed.
+bool ownsFirmly(const wire::NodeRecord& record, std::uint32_t shard) {
+    return holds(record.quota_shards(), shard) && !holds(record.offered_shards(), shard);
+}
+
 std::uint64_t weightOf(const std::string& node, std::uint32_t shard) {
     return XXH3_64bits_withSeed(node.data(), node.size(), shard);
 }
@@ -37,21 +46,15 @@
 }
 
 bool ShardKeeper::hasLiveOwner(std::uint32_t shard) const {
-    const auto names = [shard](const wire::NodeRecord& record) {
-        const auto& shards = record.quota_shards();
-        return std::find(shards.begin(), shards.end(), shard) != shards.end();
-    };
-    if (names(directory_.self())) {
-        return true;
-    }
     const auto& owners = directory_.shardOwners();
-    return std::any_of(owners.begin(), owners.end(), [&](const auto* node) {
-        return names(node->record) && fleet::NodeDirectory::isReachable(*node);
-    });
+    return ownsFirmly(directory_.self(), shard) || std::any_of(owners.begin(), owners.end(), [&](const auto* node) {
+               return ownsFirmly(node->record, shard) && fleet::NodeDirectory::isReachable(*node);
+           });
 }
 
-/// Owners stand in all zones in turn, so that most nodes ask one of their own zone.
-bool ShardKeeper::isCandidate(std::uint32_t shard) const {
+/// How many others would claim the shard before this node. Owners stand in all zones in turn, so that most nodes ask
+/// one of their own zone.
+std::size_t ShardKeeper::placeAsCandidate(std::uint32_t shard) const {
     const auto& self = directory_.self();
     std::set<std::string> zones{self.zone()};
     for (const auto& [name, node] : directory_.others()) {
@@ -60,13 +63,22 @@
         }
     }
     const auto zone = *std::next(zones.begin(), static_cast<std::ptrdiff_t>(shard % zones.size()));
-    const auto weight = weightOf(self.name(), shard);
-    return self.zone() == zone && !self.is_stopping() &&
-           std::none_of(directory_.others().begin(), directory_.others().end(), [&](const auto& entry) {
-               const auto& record = entry.second.record;
-               return record.zone() == zone && !record.is_stopping() &&
-                      fleet::NodeDirectory::isReachable(entry.second) && weightOf(record.name(), shard) > weight;
-           });
+    const auto standingOf = [&](const wire::NodeRecord& record) {
+        return std::make_pair(record.zone() == zone, weightOf(record.name(), shard));
+    };
+    const auto own = standingOf(self);
+    const auto& others = directory_.others();
+    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const auto& entry) {
+        const auto& record = entry.second.record;
+        return !record.is_stopping() && fleet::NodeDirectory::isReachable(entry.second) && standingOf(record) > own;
+    }));
+}
+
+bool ShardKeeper::isClaimDue(std::uint32_t shard) const {
+    const auto found = looks_.find(shard);
+    const auto looks = found == looks_.end() ? 0 : found->second;
+    return looks >= knobs_.looks_before_claim && !directory_.self().is_stopping() &&
+           looks >= knobs_.looks_before_claim * (1 + placeAsCandidate(shard));
 }
 
 void ShardKeeper::look() {
@@ -76,10 +88,10 @@
     }
     bool claims = false;
     for (std::uint32_t shard = 0; shard < kShards; ++shard) {
-        const bool is_due = !hasLiveOwner(shard) && isCandidate(shard);
-        looks_[shard] = is_due ? looks_[shard] + 1 : 0;
-        claims = claims || looks_[shard] >= knobs_.looks_before_claim;
+        looks_[shard] = hasLiveOwner(shard) ? 0 : looks_[shard] + 1;
+        claims = claims || isClaimDue(shard);
     }
+    publish();
     if ((claims || !owned_.empty()) && clock_.now() >= next_read_ && !is_reading_) {
         readLeases();
     }
@@ -91,11 +103,14 @@
     store_.readLeases([this, asked](const std::optional<std::vector<LeaseRecord>>& records) {
         is_reading_ = false;
         if (records) {
+            is_confirmed_ = true;
             next_read_ = clock_.now() + knobs_.confirm_interval;
             onLeases(asked, *records);
         } else {
+            is_confirmed_ = false;
             next_read_ = clock_.now() + knobs_.confirm_retry;
             log_.write(Event("store_failed").with("step", "leases"));
+            publish();
         }
     });
 }
@@ -119,10 +134,10 @@
 }
 
 /// Whoever is not reached from here may still be at work: its lease has to end first, which the new owner waits for.
-bool ShardKeeper::isLive(const LeaseRecord& record) const {
+bool ShardKeeper::isLive(std::uint32_t shard, const LeaseRecord& record) const {
     const auto* node = directory_.find(record.holder);
     return node != nullptr && fleet::NodeDirectory::isReachable(*node) && !node->record.is_stopping() &&
-           node->record.incarnation() == record.incarnation;
+           node->record.incarnation() == record.incarnation && !holds(node->record.offered_shards(), shard);
 }
 
 void ShardKeeper::onRecord(TimePoint asked, std::uint32_t shard, const LeaseRecord& record) {
@@ -130,10 +145,13 @@
     if (isOwn(record)) {
         auto& it = owned_.try_emplace(shard, knobs_.lease).first->second;
         const bool is_new = !it.lease.isNamed();
-        it.lease.onNamed(asked, clock_.now(), it.former_is_gone);
+        it.lease.onNamed(asked, clock_.now(), it.former_ended.has_value());
         it.revision = record.revision;
         if (is_new) {
-            it.shard = std::make_unique<QuotaShard>(shard, it.lease.began());
+            it.shard = std::make_unique<QuotaShard>(shard, it.former_ended.value_or(it.lease.began()));
+            if (it.lease.waitsForFormer(clock_.now())) {
+                signal_taken_over_.emit(shard, it.former);
+            }
             log_.write(Event("quota_shard_owned")
                            .with("shard", shard)
                            .with("from_ms", toMilliseconds(it.lease.began() - clock_.now())));
@@ -144,34 +162,70 @@
         log_.write(Event("quota_shard_lost").with("shard", shard).with("peer", record.holder));
         owned_.erase(owned);
     }
-    if (looks_[shard] >= knobs_.looks_before_claim && !isLive(record)) {
+    if (isClaimDue(shard) && !isLive(shard, record)) {
         claim(shard, record);
     }
 }
 
+/// A holder that has started anew has lost what it held.
+std::optional<TimePoint> ShardKeeper::endOf(const LeaseRecord& record) const {
+    const auto& self = directory_.self();
+    if (record.holder.empty()) {
+        return clock_.now();
+    }
+    if (record.holder == self.name() && record.incarnation < self.incarnation()) {
+        return born_;
+    }
+    const auto* node = directory_.find(record.holder);
+    const bool has_started_anew = node != nullptr && node->record.incarnation() > record.incarnation;
+    return has_started_anew ? std::optional(node->received) : std::nullopt;
+}
+
 /// What became of it is read back, whatever the answer: it may be lost, and the write be done later.
 void ShardKeeper::claim(std::uint32_t shard, const LeaseRecord& present) {
     looks_[shard] = 0;
     const auto& self = directory_.self();
-    const auto* holder = directory_.record(present.holder);
-    const bool has_started_anew = holder != nullptr && holder->incarnation() > present.incarnation;
     auto& it = owned_.insert_or_assign(shard, Owned(knobs_.lease)).first->second;
-    it.former_is_gone = present.holder.empty() || has_started_anew;
+    it.former_ended = endOf(present);
+    it.former = present.holder;
+    it.former_incarnation = present.incarnation;
     auto wanted = present;
     wanted.holder = self.name();
     wanted.incarnation = self.incarnation();
-    store_.putLease(wanted, [this](bool) { next_read_ = clock_.now(); });
+    store_.putLease(wanted, [this](bool) {
+        if (!is_reading_ && !is_released_) {
+            readLeases();
+        }
+    });
     next_read_ = clock_.now() + knobs_.confirm_retry;
 }
 
+/// What this node cannot have confirmed it offers, and hands out on until its lease ends, or another one takes over.
 void ShardKeeper::publish() {
     std::vector<std::uint32_t> shards;
+    const auto now = clock_.now();
     for (const auto& [shard, it] : owned_) {
-        if (it.lease.isNamed()) {
+        if (it.lease.mayGrant(now) || it.lease.waitsForFormer(now)) {
             shards.push_back(shard);
         }
     }
-    directory_.setQuotaShards(shards);
+    directory_.setQuotaShards(shards, is_confirmed_ ? std::vector<std::uint32_t>{} : shards);
+}
+
+void ShardKeeper::onHandedOver(std::uint32_t shard, const std::string& former, std::uint64_t incarnation) {
+    const auto found = owned_.find(shard);
+    if (found == owned_.end() || found->second.former != former || found->second.former_incarnation > incarnation) {
+        return;
+    }
+    found->second.lease.onHandedOver(clock_.now());
+    found->second.shard = std::make_unique<QuotaShard>(shard, found->second.lease.began());
+}
+
+void ShardKeeper::handOver(std::uint32_t shard) {
+    if (owned_.erase(shard) > 0) {
+        log_.write(Event("quota_shard_lost").with("shard", shard).with("peer", "by-takeover"));
+        publish();
+    }
 }
 
 QuotaShard* ShardKeeper::granting(std::uint32_t shard) {
--- a/src/quota/shard_lease.cc
+++ b/src/quota/shard_lease.cc
@@ -1,5 +1,7 @@
 #include "src/quota/shard_lease.h"
 
+#include <algorithm>
+
 namespace dewcrank::quota {
 
 void ShardLease::onNamed(TimePoint asked, TimePoint answered, bool former_is_gone) {
@@ -10,6 +12,10 @@
     confirmed_ = asked;
 }
 
+void ShardLease::onHandedOver(TimePoint now) {
+    began_ = std::min(began_, now);
+}
+
 bool ShardLease::mayGrant(TimePoint now) const {
     const auto shortest = std::chrono::duration_cast<Duration>(knobs_.term * (1 - knobs_.margin_share));
     return confirmed_ && now >= began_ && now - *confirmed_ < shortest;
--- a/src/quota/shard_lease.h
+++ b/src/quota/shard_lease.h
@@ -12,7 +12,7 @@
 struct ShardLeaseKnobs {
     /// An owner that has not been confirmed for this long hands out nothing. A new owner waits as long, so it is also
     /// how long a shard stands still when its owner is lost: one shard of several.
-    Duration term = 6s;
+    Duration term = 8s;
     double margin_share = 0.04;  ///< Of the term, for clocks that run at different rates.
 };
 
@@ -26,11 +26,15 @@
     /// The store names this node as the owner. @param asked when that was asked for. @param answered when it was
     /// heard. @param former_is_gone no other process can hand out this shard's tokens any more.
     void onNamed(TimePoint asked, TimePoint answered, bool former_is_gone);
+    /// The former owner has said that it hands out nothing more.
+    void onHandedOver(TimePoint now);
     /// The store names another one, or none.
     void onLost() { confirmed_.reset(); }
     /// True while the store names this node, as far as it has heard.
     [[nodiscard]] bool isNamed() const { return confirmed_.has_value(); }
     [[nodiscard]] bool mayGrant(TimePoint now) const;
+    /// True while it waits for the former owner's lease to end.
+    [[nodiscard]] bool waitsForFormer(TimePoint now) const { return confirmed_ && now < began_; }
     /// When this node's term began: from then on it may hand out.
     [[nodiscard]] TimePoint began() const { return began_; }
 
--- a/src/relay/caller_census.cc
+++ b/src/relay/caller_census.cc
@@ -11,6 +11,8 @@
 /// A route counts as inner if callers would give its counts less often than this.
 constexpr double kImprobable = 1e-4;
 constexpr double kNegligible = 0.5;
+/// Of a route that instances of half of all machines call, so many requests tell that it is inner.
+constexpr double kEnough = 14;
 
 }  // namespace
 
@@ -47,4 +49,17 @@
     return share < 1 && std::pow(share, total) < kImprobable;
 }
 
+std::optional<bool> CallerCensus::verdict(const std::string& route) const {
+    if (isInner(route)) {
+        return true;
+    }
+    double total = 0;
+    if (const auto found = counts_.find(route); found != counts_.end()) {
+        for (const auto& [service, count] : found->second) {
+            total += count;
+        }
+    }
+    return total >= kEnough ? std::optional(false) : std::nullopt;
+}
+
 }  // namespace dewcrank::relay
--- a/src/relay/caller_census.h
+++ b/src/relay/caller_census.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "src/base/time.h"
@@ -22,6 +23,8 @@
     void onRequest(const std::string& route, const std::string& caller_service);
     /// True if callers spread over all machines would hardly ever give what was counted.
     [[nodiscard]] bool isInner(const std::string& route) const;
+    /// The same; nothing while too few requests were counted to tell.
+    [[nodiscard]] std::optional<bool> verdict(const std::string& route) const;
 
 private:
     void fade();
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -364,7 +364,7 @@
     result.has_load = true;
     result.report.load = serviceLoad();
     result.report.time = demand_.timeOf(running.request.route);
-    result.report.is_inner = census_.isInner(running.request.route);
+    result.report.is_inner = census_.verdict(running.request.route);
     running.callback(std::move(result));
 }
 
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -19,6 +19,10 @@
 /// and cost in microseconds, failed below, age of the sender's table in microseconds and one, or 0.
 constexpr std::string_view kResult = "dewcrank-relay-result";
 constexpr double kPermille = 1000;
+/// Whether a route is called by instances, as far as the relay has seen.
+constexpr std::int64_t kNotInner = 0;
+constexpr std::int64_t kInner = 1;
+constexpr std::int64_t kNotKnown = 2;
 
 std::int64_t inThousandths(double value) {
     return static_cast<std::int64_t>(value * kPermille);
@@ -53,7 +57,7 @@
 }
 
 void write(FieldWriter* fields, const decision::RouteReport& report) {
-    fields->add(report.is_inner ? 1 : 0);
+    fields->add(report.is_inner ? (*report.is_inner ? kInner : kNotInner) : kNotKnown);
     fields->add(inThousandths(report.load.demand)).add(inThousandths(report.load.capacity));
     fields->add(inThousandths(report.load.busy)).add(report.time.count());
     fields->add(report.below.service).add(inThousandths(report.below.level)).add(report.below.cost.count());
@@ -61,7 +65,8 @@
 
 decision::RouteReport readReport(FieldReader* fields) {
     decision::RouteReport report;
-    report.is_inner = fields->number() != 0;
+    const auto inner = fields->number();
+    report.is_inner = inner == kNotKnown ? std::nullopt : std::optional(inner == kInner);
     report.load.demand = fromThousandths(fields->number());
     report.load.capacity = fromThousandths(fields->number());
     report.load.busy = fromThousandths(fields->number());
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -284,7 +284,8 @@
     }
     entry::EntryPlan plan;
     plan.route = route;
-    plan.priority = tenant != nullptr && tenant->has_priority() ? tenant->priority() : route->priority();
+    plan.priority = route->priority();
+    plan.rank = policy::rankOf(*route, tenant);
     plan.caller_deadline = wanted;
     plan.service = serviceFor(*route);
     plan.deadline = ports_.clock.now() + (route->timeout_ms() == 0 ? wanted : std::min(wanted, longest));
@@ -316,7 +317,7 @@
     }
     const auto bottleneck = bottlenecks_.least(now, route);
     plan->lineage.represents = 1 / std::max(kLeastLevel, bottleneck.level);
-    return admission_.admits(now, bottleneck, plan->priority, is_repeat);
+    return admission_.admits(now, bottleneck, plan->rank, is_repeat);
 }
 
 /// This node counts as one with an instance also before the first heartbeat.
--- a/tests/unit/quota/quota_test.cc
+++ b/tests/unit/quota/quota_test.cc
@@ -95,7 +95,7 @@
 
 /// The store names one owner after the other, at random times; each hears of it late, or not at all, and is suspended
 /// at random. No two of them may hand out at the same time.
-std::size_t overlaps(std::uint64_t seed, double margin_share) {
+std::size_t overlaps(std::uint64_t seed, double margin_share, Duration latest) {
     constexpr std::size_t kNodes = 4;
     adapters::SeededRandom random(seed);
     quota::ShardLeaseKnobs knobs;
@@ -108,16 +108,21 @@
         std::size_t named;  ///< Who it was in the middle.
     };
     std::vector<Answer> answers;
+    std::vector<TimePoint> cut_until(kNodes, kStart);
     std::optional<std::size_t> owner;
     std::size_t found = 0;
     for (auto now = kStart; now < kStart + 300s; now += 10ms) {
-        if (random.below(300) == 0) {
+        if (random.below(600) == 0) {
             owner = static_cast<std::size_t>(random.below(kNodes));
         }
         const auto node = static_cast<std::size_t>(random.below(kNodes));
-        const bool is_answered = random.below(3) > 0;
+        if (random.below(400) == 0) {
+            cut_until[node] = now + Duration(static_cast<std::int64_t>(random.below(15'000'000)));
+        }
+        const bool is_answered = random.below(3) > 0 && now >= cut_until[node];
         if (owner && is_answered) {
-            const auto late = Duration(static_cast<std::int64_t>(random.below(4'000'000)));
+            const auto late =
+                Duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(latest.count()))));
             answers.push_back({now, now + late, node, *owner});
         }
         for (const auto& it : answers) {
@@ -141,8 +146,10 @@
 BOOST_AUTO_TEST_CASE(no_two_owners_hand_out_at_the_same_time) {
     std::size_t without_waiting = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        BOOST_TEST(overlaps(seed, 0.04) == 0U, "seed " << seed);
-        without_waiting += overlaps(seed, -0.9);  // Owners hold on longer, and successors wait for less.
+        for (const auto latest : {Duration(500ms), Duration(4s)}) {
+            BOOST_TEST(overlaps(seed, 0.04, latest) == 0U, "seed " << seed);
+            without_waiting += overlaps(seed, -0.9, latest);  // Owners hold on longer, successors wait for less.
+        }
     }
     BOOST_TEST(without_waiting > 0U);
 }
@@ -155,8 +162,13 @@
     other.onNamed(kStart, kStart + 4ms, false);
     BOOST_TEST(!other.mayGrant(kStart + 4ms));
     other.onNamed(kStart + 6s, kStart + 6004ms, false);
-    BOOST_TEST(other.mayGrant(kStart + 7s));
-    BOOST_TEST(!other.mayGrant(kStart + 12s));
+    BOOST_TEST(!other.mayGrant(kStart + 8s));
+    BOOST_TEST(other.mayGrant(kStart + 9s));
+    BOOST_TEST(!other.mayGrant(kStart + 14s));
+    quota::ShardLease third{{}};
+    third.onNamed(kStart, kStart + 4ms, false);
+    third.onHandedOver(kStart + 10ms);
+    BOOST_TEST(third.mayGrant(kStart + 10ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -245,6 +245,10 @@
     BOOST_TEST(!census.isInner("callers"));
     census.onRequest("new", "desk");
     BOOST_TEST(!census.isInner("new"));
+    BOOST_TEST(!census.verdict("new").has_value());  // One request tells nothing.
+    BOOST_TEST(!census.verdict("unseen").has_value());
+    BOOST_TEST(census.verdict("inner").value());
+    BOOST_TEST(!census.verdict("callers").value());
 }
 
 BOOST_AUTO_TEST_CASE(a_relayed_request_and_its_result_survive_the_way) {
@@ -307,7 +311,7 @@
         BOOST_TEST(back.report.load.capacity == 18);
         BOOST_TEST(back.report.load.busy == 17.25);
         BOOST_TEST((back.report.time == 22ms));
-        BOOST_TEST(back.report.is_inner);
+        BOOST_TEST(back.report.is_inner.value());
         BOOST_TEST(back.failed_below);
         BOOST_TEST((back.answer.status == 418) == (outcome == relay::RelayOutcome::kAnswered));
     }
