--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -73,6 +73,22 @@
     setGauge("dewcrank_repeats_window_allowed", "This relay's part of the bound in the last window.", window.allowed);
     setGauge("dewcrank_least_level", "Least level of a service that this node calls.", node.leastBottleneck().level);
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
+    const auto age = node.tableAge();
+    setGauge("dewcrank_table_age_seconds", "Since the table was known to be the newest; -1: never.",
+             age ? toSeconds(*age) : -1);
+    const auto& quota = node.quota().totals();
+    setGauge("dewcrank_quota_tokens_spent", "Tokens that requests of this entry got, since the start.",
+             static_cast<double>(quota.granted));
+    setGauge("dewcrank_quota_tokens_returned", "Those of them whose requests did not run.",
+             static_cast<double>(quota.returned));
+    setGauge("dewcrank_quota_tokens_lent", "Tokens handed out to other nodes, since the start.",
+             static_cast<double>(quota.lent));
+    setGauge("dewcrank_quota_denied", "Requests of this entry beyond their tenants' limits, since the start.",
+             static_cast<double>(quota.beyond));
+    setGauge("dewcrank_quota_unknown", "Requests of this entry for which no owner of tokens could be asked.",
+             static_cast<double>(quota.unknown));
+    setGauge("dewcrank_quota_shards", "Shards of the quotas that this node hands out the tokens of.",
+             static_cast<double>(node.quotaShards()));
     setGauge("dewcrank_nodes_known", "Other nodes known.", static_cast<double>(node.directory().others().size()));
     setGauge("dewcrank_calls_in_flight", "Calls in flight at this node.", static_cast<double>(node.inFlight()));
     setGauge("dewcrank_relayed_calls", "Calls relayed for other nodes.", static_cast<double>(node.counters().relayed));
--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -12,6 +12,8 @@
 constexpr std::uint32_t kRepeatRank = 1000;
 /// Of a request whose cost is not known yet, so that it counts at all.
 constexpr Duration kLeastCost = 1ms;
+/// Up to this level all priorities share nearly evenly; above it the urgent ones go first the more, the higher it is.
+constexpr double kEvenLevel = 0.3;
 }  // namespace
 
 void Admission::fade(TimePoint now, Arrivals* arrivals) {
@@ -37,7 +39,8 @@
     // Of all but repeats, which are refused first.
     const double first_level = first > 0 ? std::min(1.0, level * total / first) : level;
     // The less can be served, the more evenly: a level near zero would leave the last ones nothing.
-    const double kept_share = first_level * std::max(knobs_.kept_share, 1 - first_level);
+    const double even = std::min(1 - first_level, kEvenLevel + 1 - 2 * first_level);
+    const double kept_share = first_level * std::max(knobs_.kept_share, even);
     for (auto it = arrivals.work.rbegin(); it != arrivals.work.rend(); ++it) {
         const double least = it->first >= kRepeatRank ? 0.0 : kept_share;
         const double refused = std::min(to_refuse, (1 - least) * it->second);
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -17,7 +17,7 @@
 /// Constants of the admission.
 struct AdmissionKnobs {
     /// Each priority keeps this part of the level at least, whatever is more urgent: none starves.
-    double kept_share = 0.5;
+    double kept_share = 0.3;
 };
 
 /// The share of requests that this entry admits, for each bottleneck.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -33,7 +33,7 @@
         [this] { spread(directory_.self().name(), knobs_.first_fanout, Duration::zero()); });
     directory_.signalAddressShared().connect(
         [this](const std::string& former, const std::string& latter) { settleAddress(former, latter); });
-    table_.signalAdopted().connect([this] { spread(kTableRumor, knobs_.table_fanout, Duration::zero()); });
+    table_.signalAdopted().connect([this] { spreadTable(); });
 }
 
 void Gossip::start() {
@@ -96,6 +96,15 @@
     fanout_ = std::max(fanout_, fanout);
 }
 
+/// More nodes than a round of rumors tells, and without the records that are due with it: each of those would be told
+/// to as many at once, and be dropped early for being known.
+void Gossip::spreadTable() {
+    for (const auto& node : randomNodes(knobs_.table_fanout)) {
+        tell(node, {});
+    }
+    spread(kTableRumor, knobs_.rumor_fanout, Duration::zero());
+}
+
 void Gossip::tellRumors() {
     const auto fanout = std::exchange(fanout_, 0);
     const auto names = rumors_.next(knobs_.most_records);
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -34,7 +34,7 @@
     RumorKnobs rumors;
     Duration rumor_interval = 100ms;  ///< Between two rounds while there is something to tell.
     std::size_t rumor_fanout = 2;     ///< Nodes that are told in a round.
-    std::size_t table_fanout = 4;     ///< The same for the first round of a new table.
+    std::size_t table_fanout = 3;     ///< Nodes that are told of a new table before its first round.
     std::size_t first_fanout = 8;     ///< The same for the first round of a node's own change.
     std::size_t most_records = 64;    ///< In a message.
     /// Nodes, at random, with which a starting node exchanges all.
@@ -71,6 +71,7 @@
     Duration spreadOut(Duration interval);
     void tick();
     void spread(const std::string& name, std::size_t fanout, Duration wait);
+    void spreadTable();
     void tellRumors();
     void tell(const std::string& node, const std::vector<std::string>& names);
     void onTold(const std::vector<std::string>& names, const wire::Gossip* answer);
--- a/src/policy/tenant_index.cc
+++ b/src/policy/tenant_index.cc
@@ -27,7 +27,7 @@
     char text[16];
     std::snprintf(text, sizeof text, "%08llx",
                   static_cast<unsigned long long>(XXH3_64bits(key.data(), key.size()) & kFingerprintBits));
-    return text;
+    return kFingerprintMark + std::string(text);
 }
 
 std::uint64_t TenantIndex::hashOf(std::string_view key) const {
--- a/src/policy/tenant_index.h
+++ b/src/policy/tenant_index.h
@@ -11,7 +11,10 @@
 
 namespace dewcrank::policy {
 
-/// Tells keys apart where people read: 32 bits, from which a key of full length cannot be had back.
+/// Before a fingerprint, so that it is not taken for a key.
+inline constexpr char kFingerprintMark = '#';
+
+/// Tells keys apart where people read: the mark and 32 bits, from which a key of full length cannot be had back.
 std::string keyFingerprint(std::string_view key);
 
 /// Keys are found by a hash that is seeded in each process, and then compared whole in a time that does not depend
--- a/src/quota/shard_keeper.cc
+++ b/src/quota/shard_keeper.cc
@@ -63,14 +63,14 @@
         }
     }
     const auto zone = *std::next(zones.begin(), static_cast<std::ptrdiff_t>(shard % zones.size()));
-    const auto standingOf = [&](const wire::NodeRecord& record) {
+    const auto standing = [&](const wire::NodeRecord& record) {
         return std::make_pair(record.zone() == zone, weightOf(record.name(), shard));
     };
-    const auto own = standingOf(self);
+    const auto own = standing(self);
     const auto& others = directory_.others();
     return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const auto& entry) {
         const auto& record = entry.second.record;
-        return !record.is_stopping() && fleet::NodeDirectory::isReachable(entry.second) && standingOf(record) > own;
+        return !record.is_stopping() && fleet::NodeDirectory::isReachable(entry.second) && standing(record) > own;
     }));
 }
 
--- /dev/null
+++ b/src/sidecar/load_log.h
@@ -0,0 +1,37 @@
+/// @file
+/// Two lines a second on what a node is asked for: its instance's load, and the repeats that `dewcrank repeats` sums
+/// over the fleet.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "src/decision/bottleneck_view.h"
+#include "src/ports/clock.h"
+#include "src/ports/event_log.h"
+#include "src/relay/relay_service.h"
+
+namespace dewcrank::sidecar {
+
+class LoadLog {
+public:
+    LoadLog(Clock& clock, EventLog& log, const std::string& service, relay::RelayService& relay,
+            const decision::BottleneckView& bottlenecks, const decision::RepeatBound& repeats);
+    void start() { write(); }
+
+private:
+    void write();
+    void writeRepeats();
+
+    Clock& clock_;
+    EventLog& log_;
+    const std::string& service_;
+    relay::RelayService& relay_;
+    const decision::BottleneckView& bottlenecks_;
+    const decision::RepeatBound& bound_;
+    decision::RepeatTotals last_;  ///< As of the last line on repeats.
+    std::uint64_t last_counted_before_ = 0;
+    TimerHandle timer_;
+};
+
+}  // namespace dewcrank::sidecar
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kStopCheck = 50ms;
-constexpr Duration kLoadLogInterval = 1s;
-constexpr double kLoggedDemand = 0.8;
 /// A request stands for at most the inverse of this many, so that a level near zero is no outlier.
 constexpr double kLeastLevel = 0.02;
 
@@ -88,7 +86,8 @@
       shard_keeper_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
       quota_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, shard_keeper_,
              settings_.knobs.quota_client),
-      intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}) {
+      intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}),
+      load_log_(ports.clock, ports.log, settings_.service, relay_, bottlenecks_, settings_.knobs.relay.repeats) {
     instance_.signalChanged().connect([this] { publishSelf(); });
     relay_.signalCrashed().connect(
         [this](const quarantine::CrashNotice& notice) { quarantine_exchange_.tell(notice); });
@@ -108,56 +107,7 @@
     quarantine_exchange_.start();
     store_session_.start();
     shard_keeper_.start();
-    logLoad();
-}
-
-/// Once a second, while the instance is pressed or callers are refused.
-void SidecarNode::logLoad() {
-    load_timer_ = ports_.clock.startTimer(kLoadLogInterval, [this] { logLoad(); });
-    logRepeats();
-    const auto load = relay_.load();
-    const auto own = serviceLoad();
-    const auto least = leastBottleneck();
-    if (own.demand < kLoggedDemand * own.capacity && least.level >= 1) {
-        return;
-    }
-    ports_.log.write(Event("load")
-                         .with("service", settings_.service)
-                         .with("running", load.running)
-                         .with("waiting", load.waiting)
-                         .with("limit", load.limit)
-                         .with("demand", own.demand)
-                         .with("busy", own.busy)
-                         .with("level", own.level())
-                         .with("least_level", least.level)
-                         .with("bottleneck", least.service));
-}
-
-/// Once a second, while requests come: what `dewcrank repeats` sums over the fleet.
-void SidecarNode::logRepeats() {
-    const auto& now = relay_.repeatTotals();
-    const auto before = std::exchange(logged_repeats_, now);
-    const auto counted_before = relay_.countedBefore() - std::exchange(logged_counted_before_, relay_.countedBefore());
-    const double asked = now.requests - before.requests + now.inherited - before.inherited;
-    if (asked <= 0 && now.granted == before.granted && now.denied == before.denied) {
-        return;
-    }
-    const auto window = relay_.repeatWindow();
-    const auto& bound = settings_.knobs.relay.repeats;
-    ports_.log.write(Event("repeats")
-                         .with("service", settings_.service)
-                         .with("requests", now.requests - before.requests)
-                         .with("counted_before", counted_before)
-                         .with("inherited", now.inherited - before.inherited)
-                         .with("granted", now.granted - before.granted)
-                         .with("denied", now.denied - before.denied)
-                         .with("window_requests", window.requests)
-                         .with("window_repeats", window.repeats)
-                         .with("window_allowed", window.allowed)
-                         .with("relays", relay_.relayCount())
-                         .with("ratio", bound.ratio)
-                         .with("slack", bound.slack)
-                         .with("window_s", toSeconds(bound.window)));
+    load_log_.start();
 }
 
 decision::Bottleneck SidecarNode::leastBottleneck() const {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -27,6 +27,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
+#include "src/sidecar/load_log.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
 
@@ -118,8 +119,6 @@
     bool admit(entry::EntryPlan* plan);
     void onCallEnded(CallNumber number, const entry::EntryReport& report);
     void logRelayed(const std::string& request, const relay::RelayResult& result);
-    void logLoad();
-    void logRepeats();
     void publishSelf();
     void setProbePath();
     void onNodeSilent(const std::string& name);
@@ -129,8 +128,6 @@
     Ports ports_;
     Settings settings_;
     Counters counters_;
-    decision::RepeatTotals logged_repeats_;  ///< As of the last line on them.
-    std::uint64_t logged_counted_before_ = 0;
     sigc::signal<void(const entry::EntryReport&)> signal_call_ended_;
     policy::RouteTable table_;
     policy::TableLease lease_;
@@ -149,6 +146,7 @@
     quota::ShardKeeper shard_keeper_;
     quota::QuotaClient quota_;
     entry::CallIntake intake_;
+    LoadLog load_log_;
     decision::UsualDeadlines deadlines_;
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
@@ -162,7 +160,6 @@
     std::map<CallNumber, relay::RelayService::Number> relayed_;
     std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;
     TimerHandle ended_timer_;
-    TimerHandle load_timer_;
     bool is_stopping_ = false;
     TimePoint stop_began_{};
     std::function<void()> led_away_;
