Show by a test what equal parts of a limit would refuse

Measured: unit_quota: at 0.62 of its limit a tenant of 16 or 60 a second is refused over 0.05 by equal parts over 20 to 300 nodes (where a node's part is under one token a second), under 0.01 by shards.

--- a/tests/unit/quota/quota_test.cc
+++ b/tests/unit/quota/quota_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <optional>
 #include <vector>
 
@@ -82,6 +83,51 @@
     }
 }
 
+/// Of a tenant's requests at 0.62 of its limit, spread over the nodes of a fleet, the share that finds no token.
+/// @param has_shards three shards of it are asked at most; else each node has an equal part of the limit.
+double refusedShare(double rate, std::size_t nodes, bool has_shards, std::uint64_t seed) {
+    adapters::SeededRandom random(seed);
+    const auto tenant = tenantOf(rate, rate);
+    const auto parts = static_cast<double>(nodes);
+    std::vector<quota::TokenBucket> buckets(nodes, quota::TokenBucket(kStart - 10s));
+    std::vector<quota::QuotaShard> shards;
+    for (std::uint32_t shard = 0; shard < quota::kShards; ++shard) {
+        shards.emplace_back(shard, kStart - 10s);
+    }
+    const auto grants = [&](TimePoint now) {
+        if (!has_shards) {
+            return buckets[random.below(nodes)].take(now, rate / parts, std::max(1.0, rate / parts), 1) > 0;
+        }
+        const auto first = quota::firstShardOf("house");
+        const auto count = quota::shardsOf(tenant);
+        const auto begin = random.below(count);
+        for (std::uint64_t asks = 0; asks < std::min(count, 3U); ++asks) {
+            const auto place = static_cast<std::uint32_t>((first + (begin + asks) % count) % quota::kShards);
+            if (shards[place].grant(now, tenant, 1, 0).granted() > 0) {
+                return true;
+            }
+        }
+        return false;
+    };
+    int asked = 0;
+    int refused = 0;
+    for (auto now = kStart; now < kStart + 60s; now += fromSeconds(-std::log(1 - random.unit()) / (0.62 * rate))) {
+        ++asked;
+        refused += grants(now) ? 0 : 1;
+    }
+    return static_cast<double>(refused) / asked;
+}
+
+BOOST_AUTO_TEST_CASE(tenants_within_their_limits_find_tokens_where_equal_parts_of_a_limit_would_refuse_them) {
+    for (const double rate : {16.0, 60.0, 429.0}) {
+        for (const std::size_t nodes : {20U, 71U, 300U}) {
+            BOOST_TEST(refusedShare(rate, nodes, true, 1) < 0.01, rate << " a second over " << nodes);
+            const bool has_part = rate >= static_cast<double>(nodes);  // At least a token a second for each node.
+            BOOST_TEST((has_part || refusedShare(rate, nodes, false, 1) > 0.05), rate << " a second over " << nodes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_that_changes_counts_at_once_and_none_is_none) {
     quota::QuotaShard shard(quota::firstShardOf("house"), kStart);
     BOOST_TEST(shard.grant(kStart + 10s, tenantOf(4, 4), 10, 0).granted() == 4U);
