Show the promise on taken addresses broken with its mechanism off

Cause: the switch trusts_any_answer was there, and no test used it. Ruled out: - Change: the case runs with the mechanism and without it, with the same assertion as before where it is on.

--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -292,17 +292,21 @@
 /// The former node's record stays in the directories; whoever answers at its address now is not it, and runs nothing
 /// for it. One call, or one probe, tells that to a node.
 BOOST_AUTO_TEST_CASE(calls_do_not_go_to_an_address_that_another_node_has_taken) {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        sim::SidecarFleet fleet(seed, services());
-        fleet.putTable("browse", "desk", "leaf");
-        fleet.runFor(4s);
-        fleet.generateLoad(kLoad, fleet.queue().now() + 16s);
-        const auto others = fleet.machineCount();
-        replaceMachine(fleet, 7, 2s, instanceOf("nobody-calls-it", 20ms, 10));
-        fleet.runFor(20s);
-        const auto strayed = fleet.node(others)->counters().relayed;
-        BOOST_TEST(strayed <= others, "seed " << seed << ": " << strayed << " calls");
-        BOOST_TEST(fleet.breaches().empty());
+    for (const bool is_weakened : {false, true}) {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            Weakening weakening;
+            weakening.trusts_any_answer = is_weakened;
+            sim::SidecarFleet fleet(seed, services(), weakening);
+            fleet.putTable("browse", "desk", "leaf");
+            fleet.runFor(4s);
+            fleet.generateLoad(kLoad, fleet.queue().now() + 16s);
+            const auto others = fleet.machineCount();
+            replaceMachine(fleet, 7, 2s, instanceOf("nobody-calls-it", 20ms, 10));
+            fleet.runFor(20s);
+            const auto strayed = fleet.node(others)->counters().relayed;
+            BOOST_TEST((strayed <= others) != is_weakened, "seed " << seed << ": " << strayed << " calls");
+            BOOST_TEST(fleet.breaches().empty());
+        }
     }
 }
 
