--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -84,6 +84,7 @@
     result.incarnation = newIncarnation();
     result.header_names = platform_.header_names;
     result.knobs.relay.repeats = settings_.repeats;
+    result.knobs.table_lease.revocation = settings_.key_revocation;
     result.knobs.longest_stop = settings_.stop_grace - kStopMargin;
     return result;
 }
--- a/sim/control_store.h
+++ b/sim/control_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "sim/virtual_clock.h"
@@ -19,6 +20,12 @@
     /// The operator's write: acknowledged at once.
     void putTable(wire::RouteTable table);
     void setDown(bool is_down) { is_down_ = is_down; }
+    /// A host that the store turns away while it serves the others.
+    void setTurnedAway(const Host& host, bool is_turned_away) {
+        is_turned_away ? void(turned_away_.insert(&host)) : void(turned_away_.erase(&host));
+    }
+    /// Of each answer; the store may be slow.
+    void setAnswerTime(Duration time) { answer_time_ = time; }
     /// Forgets what came before: watches from earlier revisions have to read anew.
     void forgetHistory() { oldest_ = revision_; }
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
@@ -27,13 +34,18 @@
 private:
     friend class SimControlStore;
     EventQueue& queue_;
+    [[nodiscard]] bool serves(const Host& host) const { return !is_down_ && !turned_away_.contains(&host); }
+
     bool is_down_ = false;
+    std::set<const Host*> turned_away_;
+    Duration answer_time_ = 4ms;
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_ = 0;
     std::uint64_t table_revision_ = 0;
     std::uint64_t calls_ = 0;
     wire::RouteTable table_;
     std::map<std::string, NodeAddress> nodes_;
+    std::map<std::string, LeaseRecord> leases_;
 };
 
 /// One host's access to the store.
@@ -45,8 +57,13 @@
     void announce(const NodeAddress& node, DoneCallback callback) override;
     void listNodes(NodesCallback callback) override;
     void withdraw(const std::string& name, DoneCallback callback) override;
+    void readLeases(LeasesCallback callback) override;
+    void putLease(const LeaseRecord& lease, DoneCallback callback) override;
 
 private:
+    [[nodiscard]] bool isServed() const { return model_.serves(host_); }
+    /// Until the answer, or until the caller gives up.
+    [[nodiscard]] Duration answerTime() const;
     void later(Duration delay, std::function<void()> action);
     void pollWatch(std::uint64_t revision, TimePoint end, const TableCallback& callback);
 
--- a/sim/fleet_checks.cc
+++ b/sim/fleet_checks.cc
@@ -41,6 +41,8 @@
     checkRuns(&found);
     checkDraining(&found);
     checkRepeats(&found);
+    checkAccess(&found);
+    checkQuotas(&found);
     return found;
 }
 
@@ -68,11 +70,16 @@
     }
 }
 
-void SidecarFleet::checkRuns(std::vector<Breach>* out) const {
+std::map<std::string, const CallerRequest*> SidecarFleet::requestsById() const {
     std::map<std::string, const CallerRequest*> by_id;
     for (const auto& request : requests_) {
         by_id[request->id] = request.get();
     }
+    return by_id;
+}
+
+void SidecarFleet::checkRuns(std::vector<Breach>* out) const {
+    const auto by_id = requestsById();
     for (const auto& run : records_.runs) {
         const auto prefix = run.path.substr(0, run.path.rfind('/') + 1);
         if (!allowed_.contains(prefix + " " + run.service)) {
@@ -105,6 +112,76 @@
     }
 }
 
+/// Keys stay at the entry, runs name the tenant that holds the key, and a key that has been taken away, or never was
+/// one, runs nothing. Machines that are cut off, suspended or restarted are no exception.
+void SidecarFleet::checkAccess(std::vector<Breach>* out) const {
+    if (tenants_.empty()) {
+        return;
+    }
+    if (logLinesWithKey() > 0) {
+        out->push_back({"keys stay at the entry", std::to_string(logLinesWithKey()) + " lines of the log"});
+    }
+    const auto by_id = requestsById();
+    for (const auto& run : records_.runs) {
+        const auto found = by_id.find(run.request);
+        if (run.has_key) {
+            out->push_back({"keys stay at the entry", run.request});
+        }
+        if (found == by_id.end()) {
+            if (!run.tenant.empty()) {
+                out->push_back({"runs name their caller's tenant", run.request + ": " + run.tenant});
+            }
+            continue;
+        }
+        std::string holder;
+        TimePoint held_until{};
+        for (const auto& term : tenant_terms_) {
+            const auto& keys = term.tenant.keys();
+            if (std::find(keys.begin(), keys.end(), found->second->key) != keys.end()) {
+                holder = term.tenant.name();
+                held_until = std::max(held_until, term.ended);
+            }
+        }
+        if (holder.empty()) {
+            out->push_back({"unknown keys run nothing", run.request});
+        } else if (run.tenant != holder) {
+            out->push_back({"runs name their caller's tenant", run.request + ": " + run.tenant});
+        }
+        if (!holder.empty() && held_until != TimePoint::max() && found->second->sent > held_until + kRevocation) {
+            out->push_back({"revoked keys run nothing", run.request + " at " + found->second->entry});
+        }
+    }
+}
+
+/// In each sliding window, over all machines. Where a limit has changed within two windows the greatest one counts.
+void SidecarFleet::checkQuotas(std::vector<Breach>* out) const {
+    std::map<std::string, std::vector<TimePoint>> runs;
+    const auto by_id = requestsById();
+    for (const auto& run : records_.runs) {
+        if (!run.tenant.empty() && by_id.contains(run.request)) {
+            runs[run.tenant].push_back(run.began);
+        }
+    }
+    for (const auto& [name, times] : runs) {
+        for (auto begin = times.begin(); begin != times.end(); ++begin) {
+            double most = 0;
+            bool is_limited = true;
+            for (const auto& term : tenant_terms_) {
+                if (term.tenant.name() == name && term.ended > *begin - 2 * kQuotaWindow) {
+                    is_limited = is_limited && term.tenant.rate_per_s() > 0;
+                    most = std::max(most, term.tenant.rate_per_s() * toSeconds(kQuotaWindow) + term.tenant.burst());
+                }
+            }
+            const auto count = std::lower_bound(begin, times.end(), *begin + kQuotaWindow) - begin;
+            const double allowed = most * (1 + kQuotaOverage) + kQuotaSlack;
+            if (is_limited && static_cast<double>(count) > allowed) {
+                out->push_back({"quotas hold", name + ": " + std::to_string(count) + " of " + std::to_string(allowed)});
+                break;
+            }
+        }
+    }
+}
+
 /// In any window, the arrivals past the first of each request stay within the bound. Arrivals that an
 /// instance has refused count; so do those of calls that a repeated run makes again.
 void SidecarFleet::checkRepeats(std::vector<Breach>* out) const {
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -119,7 +119,9 @@
     running.request = std::move(request);
     running.reply = std::move(reply);
     running.run = records_.runs.size();
-    records_.runs.push_back({id, id_, options_.service, running.request.path, queue_.now(), TimePoint::max()});
+    records_.runs.push_back({id, id_, options_.service, running.request.path, queue_.now(), TimePoint::max(),
+                             std::string(running.request.headers.get(names_.tenant)),
+                             running.request.headers.has("Authorization")});
     const auto given = running.request.headers.get(names_.deadline_ms);
     running.deadline = queue_.now() + std::chrono::milliseconds(std::atoi(std::string(given).c_str()));
     if (options_.inner_host.empty()) {
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -45,6 +45,8 @@
     std::string path;
     TimePoint began{};
     TimePoint ended{};
+    std::string tenant;    ///< As the request names it.
+    bool has_key = false;  ///< A caller's key has come along.
 };
 
 /// One arrival at an instance, whether or not it was run.
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -142,6 +142,10 @@
             "retries.window_s", 1, kLongestSeconds,
             [](SidecarSettings& settings, double value) { settings.repeats.window = milliseconds(value * 1e3); },
             [](const SidecarSettings& settings) { return inMilliseconds(settings.repeats.window) / 1e3; }),
+        numberKey(
+            "keys.revocation_ms", 0, kLongestMs,
+            [](SidecarSettings& settings, double value) { settings.key_revocation = milliseconds(value); },
+            [](const SidecarSettings& settings) { return inMilliseconds(settings.key_revocation); }),
         numberKey(
             "stop.grace_s", 1, kLongestSeconds,
             [](SidecarSettings& settings, double value) { settings.stop_grace = milliseconds(value * 1e3); },
--- a/src/base/header_names.h
+++ b/src/base/header_names.h
@@ -14,6 +14,8 @@
     std::string instance_id = "x-instance-id";              ///< In an answer of the wrong instance.
     std::string caller_service = "x-caller-service";        ///< Service beside the entry node.
     std::string server_load = "x-server-load";              ///< "running,waiting,slots".
+    std::string tenant = "x-tenant";                        ///< Set by the entry: who calls.
+    std::string key_scheme = "Bearer";                      ///< Of the `Authorization` that holds a caller's key.
     std::string server_stamp = "x-server-stamp";            ///< Signature in each answer of an instance.
 };
 
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -5,20 +5,15 @@
 #include <utility>
 
 #include "src/base/http_status.h"
-#include "src/relay/relay_wire.h"
 
 namespace dewcrank::entry {
 
-namespace {
-
 std::string secondsText(Duration duration) {
     char text[32];
-    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(duration.count()) / 1e6);
+    std::snprintf(text, sizeof text, "%.3f", toSeconds(duration));
     return text;
 }
 
-}  // namespace
-
 EntryCall::EntryCall(EntryServices& services, EntryPlan plan, ReplyCallback reply, EndCallback end)
     : services_(services),
       plan_(std::move(plan)),
@@ -65,7 +60,7 @@
     request.is_last_choice =
         refusals_ + 1 >= services_.knobs.most_refusals || tried_.size() >= services_.selector.relayCount(plan_.service);
     request.route = plan_.route->name();
-    request.priority = plan_.route->priority();
+    request.priority = plan_.priority;
     request.deadline = plan_.deadline - services_.knobs.relay_margin;
     request.longest_wait = share;
     request.lineage = plan_.lineage;
@@ -83,6 +78,7 @@
         return;
     }
     services_.failure_detector.onCallSent(relay_);
+    sent_ = services_.clock.now();
     const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
     attempt_ =
         services_.nodes.send(target.address, relay::toHttp(std::move(request), self, services_.clock.now()),
@@ -91,9 +87,18 @@
 
 void EntryCall::onRelayAnswer(AttemptResult result) {
     if (result.outcome == AttemptOutcome::kAnswered) {
-        services_.directory.onReached(relay_);
         auto received = relay::fromHttp(std::move(result.answer));
+        const bool is_its_own = received.sender.name.empty() || received.sender.name == relay_;
+        if (!is_its_own && !services_.weakening.trusts_any_answer) {
+            onDisplaced(received);
+            return;
+        }
+        services_.directory.onReached(relay_);
         services_.gossip.onTableVersionSeen(relay_, received.sender.table_version);
+        if (received.sender.table_age) {
+            services_.lease.onPeer(sent_, *received.sender.table_age, received.sender.table_version,
+                                   services_.table.version());
+        }
         onResult(std::move(received.result));
         return;
     }
@@ -101,6 +106,19 @@
     onRelayLost(result.reason, result.outcome == AttemptOutcome::kUnknown);
 }
 
+/// Another node has the relay's address now. It has refused the call, which names another instance than its own; what
+/// it reports of its load, and of the route, is not the relay's.
+void EntryCall::onDisplaced(const relay::ReceivedResult& received) {
+    services_.log.write(Event("node_displaced").with("peer", relay_).with("by", received.sender.name));
+    services_.directory.onDisplaced(relay_);
+    relay::RelayResult result;
+    result.outcome = received.result.outcome == relay::RelayOutcome::kNotRun ? relay::RelayOutcome::kNotRun
+                                                                             : relay::RelayOutcome::kUnknown;
+    result.reason = relay::RelayReason::kDisplaced;
+    result.was_offered = result.outcome == relay::RelayOutcome::kUnknown;
+    onResult(std::move(result));
+}
+
 void EntryCall::onNodeSilent(const std::string& node) {
     const bool runs_there = relay_ == node && attempt_ != nullptr;
     const bool may_repeat = plan_.route->is_repeatable() && offered_ + 1 < plan_.route->max_attempts();
@@ -176,9 +194,11 @@
 void EntryCall::onNotRun(const relay::RelayResult& result) {
     is_overload_ =
         result.reason == relay::RelayReason::kQueueTooLong || result.reason == relay::RelayReason::kQueueTimeout;
-    const bool is_final = is_quarantined_ || result.reason == relay::RelayReason::kRepeatBudget ||
-                          result.reason == relay::RelayReason::kDeadline ||
-                          ++refusals_ >= services_.knobs.most_refusals || offered_ >= plan_.route->max_attempts();
+    const bool is_final =
+        is_quarantined_ || result.reason == relay::RelayReason::kRepeatBudget ||
+        result.reason == relay::RelayReason::kDeadline ||
+        (result.reason != relay::RelayReason::kDisplaced && ++refusals_ >= services_.knobs.most_refusals) ||
+        offered_ >= plan_.route->max_attempts();
     if (is_final) {
         giveUp(relay::reasonText(result.reason), false);
         return;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -15,14 +15,19 @@
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/policy/route_table.h"
+#include "src/policy/table_lease.h"
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
+#include "src/relay/relay_wire.h"
 
 namespace dewcrank::entry {
 
+/// A time as `Retry-After` has it: seconds with a fraction.
+std::string secondsText(Duration duration);
+
 /// Constants of calls at their entry.
 struct EntryKnobs {
     /// A request waits in a relay's queue for this share of its latency objective at most.
@@ -48,6 +53,7 @@
     HttpRequest request;     ///< Without what concerns the caller's connection only.
     policy::RoutePtr route;  ///< Never null; stays as it is when the table changes.
     std::string service;
+    std::uint32_t priority = 0;  ///< 0 is the most urgent.
     TimePoint deadline{};
     Duration caller_deadline{};  ///< The time that the caller gives.
     decision::Lineage lineage;   ///< Taken over from the run that it is a call of.
@@ -65,6 +71,7 @@
     fleet::Gossip& gossip;
     fleet::FailureDetector& failure_detector;
     const policy::RouteTable& table;
+    policy::TableLease& lease;
     HeaderNames names;
     EntryKnobs knobs;
     /// Told of each result that a relay has reported.
@@ -115,6 +122,7 @@
     void sendTo(const RelayTarget& target);
     [[nodiscard]] relay::RelayRequest relayRequest(const RelayTarget& target) const;
     void onRelayAnswer(AttemptResult result);
+    void onDisplaced(const relay::ReceivedResult& received);
     void onRelayLost(const std::string& reason, bool was_sent);
     std::string relayEnded();
     void onResult(relay::RelayResult result);
@@ -139,6 +147,7 @@
     TimerHandle deadline_timer_;
     std::string relay_;                    ///< The node that has the attempt now; empty: none.
     AttemptHandle attempt_;                ///< At another node.
+    TimePoint sent_{};                     ///< When that was sent.
     relay::RelayService::Number own_ = 0;  ///< At this node's own relay.
     std::set<std::string> tried_;
     std::size_t refusals_ = 0;
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -17,7 +17,7 @@
 std::size_t RelaySelector::relayCount(const std::string& service) const {
     std::size_t count = serves(directory_.self(), service) ? 1 : 0;
     for (const auto* node : directory_.othersWith(service)) {
-        count += serves(node->record, service) ? 1 : 0;
+        count += serves(*node, service) ? 1 : 0;
     }
     return count;
 }
@@ -57,7 +57,7 @@
     const wire::NodeRecord* best = nullptr;
     double least = std::numeric_limits<double>::max();
     const auto consider = [&](const Candidate& candidate) {
-        if (!serves(candidate.record, service) || excluded.contains(candidate.record.name())) {
+        if (excluded.contains(candidate.record.name())) {
             return;
         }
         const double cost = costOf(now, candidate);
@@ -67,10 +67,14 @@
         }
     };
     const auto& self = directory_.self();
-    consider({self, 0, std::chrono::milliseconds(self.instance().cold_left_ms()), false});
+    if (serves(self, service)) {
+        consider({self, 0, std::chrono::milliseconds(self.instance().cold_left_ms()), false});
+    }
     for (const auto* node : directory_.othersWith(service)) {
-        consider(
-            {node->record, node->number, directory_.coldLeft(*node, now), fleet::NodeDirectory::isSuspected(*node)});
+        if (serves(*node, service)) {
+            consider({node->record, node->number, directory_.coldLeft(*node, now),
+                      fleet::NodeDirectory::isSuspected(*node)});
+        }
     }
     return best == nullptr ? RelayTarget{} : RelayTarget{best->name(), best->address(), best->instance().id()};
 }
@@ -82,7 +86,7 @@
     }
     const auto& others = directory_.othersWith(service);
     return std::any_of(others.begin(), others.end(), [&](const auto* node) {
-        return serves(node->record, service) && !fleet::NodeDirectory::isSuspected(*node) &&
+        return serves(*node, service) && !fleet::NodeDirectory::isSuspected(*node) &&
                !excluded.contains(node->record.name());
     });
 }
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -64,6 +64,9 @@
         DecayingMean failures;  ///< 1 for each call that failed, 0 for each other.
     };
     [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
+    [[nodiscard]] static bool serves(const fleet::KnownNode& node, const std::string& service) {
+        return !node.is_displaced && serves(node.record, service);
+    }
     /// A relay that may be chosen, as the directory knows it.
     struct Candidate {
         const wire::NodeRecord& record;
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -19,17 +19,20 @@
 }  // namespace
 
 Gossip::Gossip(Clock& clock, RandomSource& random, EventLog& log, BackEndPort& nodes, NodeDirectory& directory,
-               policy::RouteTable& table, GossipKnobs knobs)
+               policy::RouteTable& table, policy::TableLease& lease, GossipKnobs knobs)
     : clock_(clock),
       random_(random),
       log_(log),
       nodes_(nodes),
       directory_(directory),
       table_(table),
+      lease_(lease),
       knobs_(knobs),
       rumors_(knobs.rumors) {
     directory_.signalSelfChanged().connect(
         [this] { spread(directory_.self().name(), knobs_.first_fanout, Duration::zero()); });
+    directory_.signalAddressShared().connect(
+        [this](const std::string& former, const std::string& latter) { settleAddress(former, latter); });
     table_.signalAdopted().connect([this] { spread(kTableRumor, knobs_.rumor_fanout, Duration::zero()); });
 }
 
@@ -75,6 +78,9 @@
     message.set_sender(directory_.self().name());
     message.set_sender_address(directory_.self().address());
     message.set_table_version(table_.version());
+    if (const auto age = lease_.age(clock_.now())) {
+        message.set_table_age_us(static_cast<std::uint64_t>(age->count()));
+    }
     return message;
 }
 
@@ -188,6 +194,12 @@
     send(name, reply, nullptr);
 }
 
+void Gossip::askForTableAge(std::size_t nodes) {
+    for (const auto& name : randomNodes(nodes)) {
+        send(name, message(), nullptr);
+    }
+}
+
 void Gossip::probe(const std::string& name, Duration timeout, std::function<void(bool)> done) {
     send(name, message(), timeout, [done = std::move(done)](const wire::Gossip* answer) { done(answer != nullptr); });
 }
@@ -207,28 +219,55 @@
     request.headers.set("Content-Type", "application/x-protobuf");
     request.body = message.SerializeAsString();
     const auto number = ++last_number_;
-    in_flight_[number] = nodes_.send(node->record.address(), std::move(request), timeout,
-                                     [this, number, name, done = std::move(done)](const AttemptResult& result) {
-                                         const auto ended = in_flight_.extract(number);
-                                         onAnswer(name, result, done);
-                                     });
+    in_flight_[number] =
+        nodes_.send(node->record.address(), std::move(request), timeout,
+                    [this, number, name, sent = clock_.now(), done = std::move(done)](const AttemptResult& result) {
+                        const auto ended = in_flight_.extract(number);
+                        onAnswer(name, sent, result, done);
+                    });
 }
 
-void Gossip::onAnswer(const std::string& name, const AttemptResult& result, const Sent& done) {
+/// What another node answers at the address is its own word, and none of the node that was asked.
+void Gossip::onAnswer(const std::string& name, TimePoint sent, const AttemptResult& result, const Sent& done) {
     wire::Gossip answer;
     const bool is_answered = result.outcome == AttemptOutcome::kAnswered && result.answer.status == kHttpOk &&
                              answer.ParseFromString(result.answer.body);
-    if (is_answered) {
+    const bool is_its_own = is_answered && (answer.sender() == name || knobs_.weakening.trusts_any_answer);
+    if (is_its_own) {
         directory_.onReached(name);
+    }
+    if (is_answered) {
+        directory_.addAddress(answer.sender(), "", answer.sender_address());
+        directory_.onReached(answer.sender());
         mergeAll(answer, nullptr);
-    } else {
+        if (answer.has_table_age_us()) {
+            const Duration age(static_cast<std::int64_t>(answer.table_age_us()));
+            lease_.onPeer(sent, age, answer.table_version(), table_.version());
+        }
+    }
+    if (is_answered && !is_its_own) {
+        log_.write(Event("node_displaced").with("peer", name).with("by", answer.sender()));
+        directory_.onDisplaced(name);
+    } else if (!is_answered) {
         directory_.onUnreachable(name);
     }
     if (done) {
-        done(is_answered ? &answer : nullptr);
+        done(is_its_own ? &answer : nullptr);
     }
 }
 
+/// Whoever answers at the address holds it, the other one does not.
+void Gossip::settleAddress(const std::string& former, const std::string& latter) {
+    probe(former, knobs_.timeout, [this, former, latter](bool is_former) {
+        const auto* one = directory_.find(former);
+        const auto* other = directory_.find(latter);
+        const bool is_shared = one != nullptr && other != nullptr && one->record.address() == other->record.address();
+        if (is_former && is_shared) {
+            directory_.onDisplaced(latter);
+        }
+    });
+}
+
 /// @param reply told which records were no news; null for an answer.
 void Gossip::mergeAll(const wire::Gossip& message, wire::Gossip* reply) {
     for (int place = 0; place < message.records_size(); ++place) {
@@ -254,7 +293,7 @@
 
 void Gossip::onTableVersionSeen(const std::string& name, std::uint64_t version) {
     directory_.onTableVersion(name, version);
-    if (version > table_.version()) {
+    if (table_.onVersionSeen(version)) {
         exchangeWith(name);
     }
 }
@@ -268,7 +307,7 @@
         return answer;
     }
     directory_.addAddress(received.sender(), "", received.sender_address());
-    directory_.onReached(received.sender());
+    directory_.onHeard(received.sender());
     auto reply = message();
     mergeAll(received, &reply);
     if (received.digest_size() > 0) {
@@ -284,7 +323,7 @@
         *reply.mutable_table() = table_.whole();
     }
     reply.set_is_digest_wanted(received.directory_hash() != 0 && received.directory_hash() != directory_.hash());
-    if (received.table_version() > table_.version()) {
+    if (table_.onVersionSeen(received.table_version())) {
         exchangeWith(received.sender());
     }
     answer.status = kHttpOk;
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -12,9 +12,11 @@
 #include <vector>
 
 #include "src/base/http_message.h"
+#include "src/base/weakening.h"
 #include "src/fleet/node_directory.h"
 #include "src/fleet/rumor_queue.h"
 #include "src/policy/route_table.h"
+#include "src/policy/table_lease.h"
 #include "src/ports/back_end_port.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
@@ -38,19 +40,22 @@
     std::size_t first_exchanges = 4;
     /// Nodes that are asked for the table at the same time: it is large, and one may be dead.
     std::size_t most_table_requests = 3;
+    Weakening weakening;  ///< Tests only.
 };
 
 /// The exchange of one node with all others.
 class Gossip {
 public:
     Gossip(Clock& clock, RandomSource& random, EventLog& log, BackEndPort& nodes, NodeDirectory& directory,
-           policy::RouteTable& table, GossipKnobs knobs);
+           policy::RouteTable& table, policy::TableLease& lease, GossipKnobs knobs);
 
     void start();
     /// Answers another node's message.
     HttpAnswer handle(const HttpRequest& request);
     /// Makes this node known, and learns from some of those that it knows.
     void introduceSelf();
+    /// Asks some nodes how fresh their tables are.
+    void askForTableAge(std::size_t nodes);
     /// Exchanges all with one node now, unless an exchange with it is under way.
     void exchangeWith(const std::string& name);
     /// A node has told its table's version, here or beside a call.
@@ -71,7 +76,8 @@
     [[nodiscard]] wire::Gossip message() const;
     void send(const std::string& name, const wire::Gossip& message, Sent done);
     void send(const std::string& name, const wire::Gossip& message, Duration timeout, Sent done);
-    void onAnswer(const std::string& name, const AttemptResult& result, const Sent& done);
+    void onAnswer(const std::string& name, TimePoint sent, const AttemptResult& result, const Sent& done);
+    void settleAddress(const std::string& former, const std::string& latter);
     void mergeAll(const wire::Gossip& message, wire::Gossip* reply);
     void sendDigest(const std::string& name);
     void sendWanted(const std::string& name, const wire::Gossip& answer);
@@ -85,6 +91,7 @@
     BackEndPort& nodes_;
     NodeDirectory& directory_;
     policy::RouteTable& table_;
+    policy::TableLease& lease_;
     GossipKnobs knobs_;
     std::set<std::string> exchanging_;
     std::set<std::string> asked_for_table_;  ///< Part of the former; most_table_requests at most.
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <tuple>
+#include <utility>
 
 namespace dewcrank::fleet {
 
@@ -47,6 +48,10 @@
 void NodeDirectory::changeOther(KnownNode* known, const wire::NodeRecord& next) {
     const auto former = known->record.instance().service();
     change(&known->record, next);
+    std::erase(shard_owners_, known);
+    if (next.quota_shards_size() > 0) {
+        shard_owners_.push_back(known);
+    }
     const auto& service = known->record.instance().service();
     if (service == former) {
         return;
@@ -74,11 +79,43 @@
     auto next = self_;
     *next.mutable_instance() = instance;
     next.set_is_stopping(is_stopping);
-    next.set_sequence(self_.sequence() + 1);
-    change(&self_, next);
+    changeSelf(next);
+}
+
+void NodeDirectory::setQuotaShards(const std::vector<std::uint32_t>& shards) {
+    const auto& present = self_.quota_shards();
+    if (std::equal(present.begin(), present.end(), shards.begin(), shards.end())) {
+        return;
+    }
+    auto next = self_;
+    next.mutable_quota_shards()->Assign(shards.begin(), shards.end());
+    changeSelf(next);
+}
+
+void NodeDirectory::changeSelf(const wire::NodeRecord& next) {
+    auto numbered = next;
+    numbered.set_sequence(self_.sequence() + 1);
+    change(&self_, numbered);
     signal_self_changed_.emit();
 }
 
+/// Two nodes never hold an address at the same time, and clocks do not tell which of them holds it now. This node's
+/// own address is held by it.
+void NodeDirectory::claimAddress(const wire::NodeRecord& record) {
+    if (record.address().empty()) {
+        return;
+    }
+    if (record.address() == self_.address()) {
+        knownNode(record.name()).is_displaced = true;
+        return;
+    }
+    auto& holder = name_at_[record.address()];
+    const auto former = std::exchange(holder, record.name());
+    if (!former.empty() && former != record.name()) {
+        signal_address_shared_.emit(former, record.name());
+    }
+}
+
 bool NodeDirectory::merge(const wire::NodeRecord& record) {
     if (record.name() == self_.name()) {
         refute(record);
@@ -91,9 +128,15 @@
     if (record.incarnation() > known.record.incarnation()) {
         known.failures = 0;
         known.table_version = 0;
+        known.is_displaced = false;
     }
+    const bool is_elsewhere = record.address() != known.record.address();
+    known.is_displaced = known.is_displaced && !is_elsewhere;
     changeOther(&known, record);
     known.received = clock_.now();
+    if (is_elsewhere) {
+        claimAddress(record);
+    }
     signal_changed_.emit(record.name());
     return true;
 }
@@ -120,6 +163,7 @@
     auto& known = knownNode(name);
     changeOther(&known, record);
     known.received = clock_.now();
+    claimAddress(record);
 }
 
 const std::vector<const KnownNode*>& NodeDirectory::othersWith(const std::string& service) const {
@@ -152,13 +196,30 @@
     return std::max<Duration>(Duration::zero(), told - (now - node.received));
 }
 
-void NodeDirectory::onReached(const std::string& name) {
+void NodeDirectory::onHeard(const std::string& name) {
     if (const auto found = others_.find(name); found != others_.end()) {
         found->second.failures = 0;
         found->second.last_heard = clock_.now();
     }
 }
 
+void NodeDirectory::onReached(const std::string& name) {
+    onHeard(name);
+    const auto found = others_.find(name);
+    if (found != others_.end() && found->second.is_displaced) {
+        found->second.is_displaced = false;
+        signal_changed_.emit(name);
+    }
+}
+
+void NodeDirectory::onDisplaced(const std::string& name) {
+    const auto found = others_.find(name);
+    if (found != others_.end() && !found->second.is_displaced) {
+        found->second.is_displaced = true;
+        signal_changed_.emit(name);
+    }
+}
+
 void NodeDirectory::onUnreachable(const std::string& name) {
     const auto found = others_.find(name);
     if (found != others_.end()) {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -23,6 +23,7 @@
     std::uint64_t table_version = 0;  ///< The newest version it is known to have.
     TimePoint last_heard{};           ///< When it last answered, or spoke.
     std::uint32_t failures = 0;       ///< Contacts that failed in a row; over 0: it is suspected.
+    bool is_displaced = false;        ///< Another node has answered at its address since it was last heard there.
 };
 
 /// Aggregate: records merge by (incarnation, sequence), so that all nodes end with the same
@@ -35,6 +36,8 @@
     [[nodiscard]] const wire::NodeRecord& self() const { return self_; }
     /// Replaces what this node says of its instance and of itself.
     void updateSelf(const wire::InstanceRecord& instance, bool is_stopping);
+    /// Replaces what this node says of the shards of quotas that it owns.
+    void setQuotaShards(const std::vector<std::uint32_t>& shards);
     /// Merges a record. @return true if it was news.
     bool merge(const wire::NodeRecord& record);
     /// A node whose record is not known yet, from the store's list.
@@ -49,15 +52,24 @@
     [[nodiscard]] const std::vector<const KnownNode*>& othersWith(const std::string& service) const;
     /// How many of the other nodes have an instance.
     [[nodiscard]] std::size_t othersWithInstance() const { return with_instance_; }
+    /// The other nodes that say that they own a shard of the quotas.
+    [[nodiscard]] const std::vector<const KnownNode*>& shardOwners() const { return shard_owners_; }
     [[nodiscard]] const KnownNode* find(const std::string& name) const;
     /// The number of a node; 0 for this node, and for one that is not known.
     [[nodiscard]] std::size_t numberOf(const std::string& name) const;
     /// True from a failed contact on until the node has been reached or has started anew.
     [[nodiscard]] static bool isSuspected(const KnownNode& node) { return node.failures > 0; }
+    /// False while it is suspected, or another node has its address.
+    [[nodiscard]] static bool isReachable(const KnownNode& node) { return !isSuspected(node) && !node.is_displaced; }
     /// How much longer its instance is cold.
     [[nodiscard]] static Duration coldLeft(const KnownNode& node, TimePoint now);
 
+    /// The node itself has answered at its address.
     void onReached(const std::string& name);
+    /// The node has spoken. That was perhaps a while ago, before another one got its address.
+    void onHeard(const std::string& name);
+    /// Another node has answered at a node's address.
+    void onDisplaced(const std::string& name);
     void onUnreachable(const std::string& name);
     void onTableVersion(const std::string& name, std::uint64_t version);
 
@@ -77,6 +89,9 @@
     sigc::signal<void(const std::string&)>& signalChanged() { return signal_changed_; }
     /// Emitted with a node's name at each failed contact with it.
     sigc::signal<void(const std::string&)>& signalSuspected() { return signal_suspected_; }
+    /// Emitted with the names of two nodes that claim the same address, as soon as the second claim is known: one of
+    /// them has gone, and only an answer from there shows which.
+    sigc::signal<void(const std::string&, const std::string&)>& signalAddressShared() { return signal_address_shared_; }
     /// Emitted when this node's own record has changed.
     sigc::signal<void()>& signalSelfChanged() { return signal_self_changed_; }
 
@@ -86,6 +101,8 @@
     void change(wire::NodeRecord* record, const wire::NodeRecord& next);
     KnownNode& knownNode(const std::string& name);
     void changeOther(KnownNode* known, const wire::NodeRecord& next);
+    void claimAddress(const wire::NodeRecord& record);
+    void changeSelf(const wire::NodeRecord& next);
 
     Clock& clock_;
     wire::NodeRecord self_;
@@ -93,10 +110,13 @@
     std::vector<const KnownNode*> by_number_;  ///< The same; a node stands at its number less one.
     std::uint64_t hash_;                       ///< Sum over the present records, this node's included.
     Index by_service_;                         ///< Others with an instance, by its service; each list by name.
-    std::size_t with_instance_ = 0;            ///< All that stand in by_service_.
+    std::vector<const KnownNode*> shard_owners_;
+    std::size_t with_instance_ = 0;  ///< All that stand in by_service_.
     sigc::signal<void(const std::string&)> signal_changed_;
     sigc::signal<void(const std::string&)> signal_suspected_;
+    sigc::signal<void(const std::string&, const std::string&)> signal_address_shared_;
     sigc::signal<void()> signal_self_changed_;
+    std::map<std::string, std::string> name_at_;  ///< The node that last claimed an address.
 };
 
 }  // namespace dewcrank::fleet
--- a/src/ports/control_store.h
+++ b/src/ports/control_store.h
@@ -29,6 +29,14 @@
     std::uint64_t revision = 0;
 };
 
+/// Who holds what only one node at a time may hold.
+struct LeaseRecord {
+    std::string name;
+    std::string holder;  ///< Name of a node; empty: nobody.
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0;  ///< Of the store, at the last write of the record; 0: it is not there.
+};
+
 /// All callbacks run later on the loop, exactly once; they get nothing when the store did not
 /// answer in time or refused.
 class ControlStore {
@@ -37,7 +45,9 @@
     using TableCallback = std::function<void(std::optional<TableRead>)>;
     using NodesCallback = std::function<void(std::optional<std::vector<NodeAddress>>)>;
     using DoneCallback = std::function<void(bool)>;
+    using LeasesCallback = std::function<void(std::optional<std::vector<LeaseRecord>>)>;
 
+    /// A linearizable read: what was acknowledged before it was asked for is in the answer.
     virtual void readTable(TableCallback callback) = 0;
     /// Waits for a change after `revision`, for `wait` at most.
     virtual void watchTable(std::uint64_t revision, Duration wait, TableCallback callback) = 0;
@@ -46,6 +56,10 @@
     virtual void listNodes(NodesCallback callback) = 0;
     /// Takes a node off the list; it is not coming back.
     virtual void withdraw(const std::string& name, DoneCallback callback) = 0;
+    /// All leases; a linearizable read.
+    virtual void readLeases(LeasesCallback callback) = 0;
+    /// Writes a lease if the store's record has its revision still. Without an answer it may be done, or be done later.
+    virtual void putLease(const LeaseRecord& lease, DoneCallback callback) = 0;
 };
 
 }  // namespace dewcrank
--- a/src/relay/relay_message.cc
+++ b/src/relay/relay_message.cc
@@ -34,6 +34,8 @@
             return "suspect";
         case RelayReason::kQuarantined:
             return "quarantined";
+        case RelayReason::kDisplaced:
+            return "displaced";
     }
     return "none";
 }
@@ -41,7 +43,7 @@
 bool isCounted(RelayReason reason) {
     return reason != RelayReason::kStopping && reason != RelayReason::kDraining &&
            reason != RelayReason::kOtherInstance && reason != RelayReason::kNotConnected &&
-           reason != RelayReason::kQuarantined;
+           reason != RelayReason::kQuarantined && reason != RelayReason::kDisplaced;
 }
 
 }  // namespace dewcrank::relay
--- a/src/relay/relay_message.h
+++ b/src/relay/relay_message.h
@@ -52,6 +52,7 @@
     kInstanceEnded,  ///< The instance has ended while it ran the request.
     kSuspect,        ///< Instances have ended with it, and another such request is being tried.
     kQuarantined,    ///< It ends the instances that run it.
+    kDisplaced,      ///< Another node has the relay's address.
 };
 const char* reasonText(RelayReason reason);
 /// True if a relay that refuses for this reason has counted the request among its service's.
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -16,7 +16,7 @@
 /// Of an answer: sender, its table's version, outcome, reason, was offered, running, waiting, limit,
 /// mean time in microseconds, is inner, demand, capacity and busy of
 /// the instance in thousandths of a slot, time of the route in microseconds, bottleneck below, its level in thousandths
-/// and cost in microseconds, failed below.
+/// and cost in microseconds, failed below, age of the sender's table in microseconds and one, or 0.
 constexpr std::string_view kResult = "dewcrank-relay-result";
 constexpr double kPermille = 1000;
 
@@ -125,6 +125,7 @@
     write(&fields, result.load);
     write(&fields, result.report);
     fields.add(result.failed_below ? 1 : 0);
+    fields.add(sender.table_age ? sender.table_age->count() + 1 : 0);
     auto answer = std::move(result.answer);
     if (result.outcome != RelayOutcome::kAnswered) {
         answer.status = kHttpOk;
@@ -152,6 +153,9 @@
     result.has_load = true;
     result.report = readReport(&fields);
     result.failed_below = fields.number() != 0;
+    if (const auto age = fields.number(); age > 0) {
+        received.sender.table_age = Duration(age - 1);
+    }
     answer.headers.removePrefix(kRelayHeaderPrefix);
     result.answer = std::move(answer);
     return received;
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -18,6 +18,7 @@
 struct RelayPeer {
     std::string name;
     std::uint64_t table_version = 0;
+    std::optional<Duration> table_age{};  ///< In an answer: so long ago that table was known to be the newest.
 };
 
 /// A request as it was received, and who sent it.
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -8,12 +8,17 @@
 #include "src/base/time.h"
 #include "src/base/weakening.h"
 #include "src/decision/admission.h"
+#include "src/entry/access_check.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
+#include "src/policy/table_lease.h"
 #include "src/quarantine/exchange.h"
+#include "src/quota/quota_client.h"
+#include "src/quota/shard_keeper.h"
 #include "src/relay/relay_service.h"
+#include "src/sidecar/table_refresher.h"
 
 namespace dewcrank::sidecar {
 
@@ -28,6 +33,11 @@
     relay::RelayKnobs relay;
     quarantine::QuarantineKnobs quarantine;
     quarantine::ExchangeKnobs quarantine_exchange;
+    policy::TableLeaseKnobs table_lease;
+    TableRefresherKnobs table_refresher;
+    entry::AccessKnobs access;
+    quota::ShardKeeperKnobs quota_shards;
+    quota::QuotaClientKnobs quota_client;
     /// An instance that is silent for longer counts as unknown.
     Duration longest_silence = 8s;
     /// Waits between tries to reach the store: doubled from the first to the longest.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -16,7 +16,6 @@
 constexpr double kLoggedDemand = 0.8;
 /// A request stands for at most the inverse of this many, so that a level near zero is no outlier.
 constexpr double kLeastLevel = 0.02;
-constexpr const char* kNotReadyRetryAfter = "0.5";
 
 HttpAnswer plainAnswer(int status, const std::string& text) {
     HttpAnswer answer;
@@ -50,8 +49,10 @@
 SidecarNode::SidecarNode(const Ports& ports, Settings settings)
     : ports_(ports),
       settings_(std::move(settings)),
+      table_(settings_.incarnation),
+      lease_(settings_.knobs.table_lease),
       directory_(ports.clock, firstRecord(settings_)),
-      gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, settings_.knobs.gossip),
+      gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, lease_, settings_.knobs.gossip),
       failure_detector_(ports.clock, directory_, gossip_, settings_.knobs.failure_detector),
       instance_(ports.clock, settings_.knobs.longest_silence),
       quarantine_(ports.clock, settings_.knobs.quarantine),
@@ -74,6 +75,7 @@
                       gossip_,
                       failure_detector_,
                       table_,
+                      lease_,
                       settings_.header_names,
                       settings_.knobs.entry,
                       [this](const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result) {
@@ -81,7 +83,12 @@
                       },
                       [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
                       settings_.knobs.weakening},
-      store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, settings_.knobs) {
+      store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_,
+                     settings_.knobs),
+      shard_keeper_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
+      quota_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, shard_keeper_,
+             settings_.knobs.quota_client),
+      intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}) {
     instance_.signalChanged().connect([this] { publishSelf(); });
     relay_.signalCrashed().connect(
         [this](const quarantine::CrashNotice& notice) { quarantine_exchange_.tell(notice); });
@@ -100,6 +107,7 @@
     gossip_.start();
     quarantine_exchange_.start();
     store_session_.start();
+    shard_keeper_.start();
     logLoad();
 }
 
@@ -203,32 +211,54 @@
 
 // Calls --------------------------------------------------------------------
 
-std::optional<HttpAnswer> SidecarNode::refusalOf(const HttpRequest& request, const policy::RoutePtr& route) const {
-    if (!table_.isKnown()) {
-        auto answer = plainAnswer(kHttpServiceUnavailable, "not-ready");
-        answer.headers.set("Retry-After", kNotReadyRetryAfter);
-        return answer;
+SidecarNode::CallNumber SidecarNode::handleCall(HttpRequest request, ReplyCallback reply) {
+    const auto number = ++last_call_;
+    intake_.start(number, std::move(request),
+                  [this, number, reply = std::move(reply)](HttpRequest taken, entry::CallIntake::Outcome outcome) {
+                      onIntake(number, std::move(taken), std::move(outcome), reply);
+                  });
+    return calls_.contains(number) || intake_.isWaiting(number) ? number : 0;
+}
+
+void SidecarNode::onIntake(CallNumber number, HttpRequest request, entry::CallIntake::Outcome outcome,
+                           const ReplyCallback& reply) {
+    if (const auto* turned = std::get_if<entry::TurnedAway>(&outcome)) {
+        turnAway(request, *turned, reply);
+    } else {
+        beginCall(number, std::move(request), std::get<entry::Admitted>(outcome), reply);
     }
-    if (route == nullptr) {
-        return plainAnswer(kHttpNotFound, "no route for this host and path");
+}
+
+void SidecarNode::turnAway(const HttpRequest& request, const entry::TurnedAway& turned, const ReplyCallback& reply) {
+    const auto& refusal = turned.refusal;
+    const auto route = turned.route == nullptr ? std::string("none") : turned.route->name();
+    if (ports_.log.takes("request_turned_away")) {
+        ports_.log.write(Event("request_turned_away")
+                             .with("request", request.headers.get(settings_.header_names.request_id))
+                             .with("route", route)
+                             .with("reason", refusal.reason)
+                             .with("status", refusal.status)
+                             .with("table", table_.version())
+                             .with("table_age_ms", tableAge() ? toMilliseconds(*tableAge()) : -1));
     }
-    if (request.headers.get(settings_.header_names.request_id).empty()) {
-        return plainAnswer(kHttpBadRequest, "the request has no id");
+    auto answer = plainAnswer(refusal.status, refusal.reason);
+    if (refusal.retry_after > Duration::zero()) {
+        answer.headers.set("Retry-After", entry::secondsText(refusal.retry_after));
     }
-    return std::nullopt;
+    reply(std::move(answer));
+    signal_call_ended_.emit(
+        {entry::EntryEnd::kRefused, route, "none", refusal.reason, Duration::zero(), refusal.status});
 }
 
-SidecarNode::CallNumber SidecarNode::handleCall(HttpRequest request, ReplyCallback reply) {
-    const auto route = table_.match(request.headers.get("host"), request.path);
-    if (auto refusal = refusalOf(request, route)) {
-        reply(std::move(*refusal));
-        return 0;
-    }
-    const auto number = ++last_call_;
-    auto planned = plan(std::move(request), route);
+void SidecarNode::beginCall(CallNumber number, HttpRequest request, const entry::Admitted& admitted,
+                            const ReplyCallback& reply) {
+    auto planned = plan(std::move(request), admitted);
     const bool is_admitted = admit(&planned);
+    if (admitted.token) {
+        spent_[number] = {admitted.tenant->name(), *admitted.token};
+    }
     auto call = std::make_unique<entry::EntryCall>(
-        entry_services_, std::move(planned), std::move(reply),
+        entry_services_, std::move(planned), reply,
         [this, number](const entry::EntryReport& report) { onCallEnded(number, report); });
     auto& started = *(calls_[number] = std::move(call));
     if (is_admitted) {
@@ -236,11 +266,12 @@
     } else {
         started.refuse("bottleneck");
     }
-    return calls_.contains(number) ? number : 0;
 }
 
-entry::EntryPlan SidecarNode::plan(HttpRequest request, const policy::RoutePtr& route) {
+entry::EntryPlan SidecarNode::plan(HttpRequest request, const entry::Admitted& admitted) {
     const auto& names = settings_.header_names;
+    const auto& route = admitted.route;
+    const auto* tenant = admitted.tenant.get();
     const Duration longest = std::chrono::milliseconds(route->timeout_ms());
     const auto wanted = millisecondsIn(request.headers.get(names.deadline_ms)).value_or(longest);
     removeHopByHopHeaders(request.headers);
@@ -248,8 +279,12 @@
     request.headers.remove("expect");
     request.headers.remove(names.expected_instance);
     request.headers.set(names.caller_service, settings_.service);
+    if (!settings_.knobs.weakening.hands_on_keys) {
+        entry::applyAccess(table_, names, tenant, &request.headers);
+    }
     entry::EntryPlan plan;
     plan.route = route;
+    plan.priority = tenant != nullptr && tenant->has_priority() ? tenant->priority() : route->priority();
     plan.caller_deadline = wanted;
     plan.service = serviceFor(*route);
     plan.deadline = ports_.clock.now() + (route->timeout_ms() == 0 ? wanted : std::min(wanted, longest));
@@ -281,7 +316,7 @@
     }
     const auto bottleneck = bottlenecks_.least(now, route);
     plan->lineage.represents = 1 / std::max(kLeastLevel, bottleneck.level);
-    return admission_.admits(now, bottleneck, plan->route->priority(), is_repeat);
+    return admission_.admits(now, bottleneck, plan->priority, is_repeat);
 }
 
 /// This node counts as one with an instance also before the first heartbeat.
@@ -322,6 +357,9 @@
     if (!isSuccess(report.status) && bottlenecks_.isInner(report.route)) {
         relay_.callGraph().onCallFailed(ports_.clock.now());
     }
+    if (const auto spent = spent_.extract(number); !spent.empty() && report.end == entry::EntryEnd::kRefused) {
+        quota_.giveBack(spent.mapped().tenant, spent.mapped().token);
+    }
     auto ended = calls_.extract(number);
     if (!ended.empty()) {
         ended_calls_.push_back(std::move(ended.mapped()));
@@ -340,6 +378,10 @@
         reply(quarantine_exchange_.handle(request));
         return 0;
     }
+    if (request.path == quota::kQuotaPath && request.method == "POST") {
+        reply(quota_.handle(request));
+        return 0;
+    }
     auto received = relay::fromHttp(std::move(request), ports_.clock.now());
     if (!received) {
         reply(plainAnswer(kHttpNotFound, "neither gossip nor a relayed call"));
@@ -358,7 +400,7 @@
         relayed_.erase(number);
         logRelayed(id, result);
         result.report.below = bottlenecks_.leastBelow(ports_.clock.now(), route, relay_.callGraph());
-        reply(relay::toHttp(std::move(result), {settings_.name, table_.version()}));
+        reply(relay::toHttp(std::move(result), {settings_.name, table_.version(), tableAge()}));
     });
     return number;
 }
@@ -383,7 +425,9 @@
     if (settings_.knobs.weakening.ignores_gone_callers) {
         return;
     }
+    intake_.cancel(number);
     calls_.erase(number);
+    spent_.erase(number);
     if (const auto relayed = relayed_.extract(number); !relayed.empty()) {
         relay_.cancel(relayed.mapped());
     }
@@ -401,6 +445,7 @@
     stopped_ = std::move(done);
     ports_.log.write(Event("node_stopping").with("in_flight", inFlight()));
     relay_.stop();
+    shard_keeper_.release();
     directory_.updateSelf(instance_.record(), true);
     if (instance_.record().state() == wire::INSTANCE_GONE) {
         store_session_.withdraw();
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -13,6 +13,7 @@
 #include "src/decision/admission.h"
 #include "src/decision/bottleneck_view.h"
 #include "src/decision/usual_deadlines.h"
+#include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
 #include "src/fleet/failure_detector.h"
@@ -82,7 +83,7 @@
     /// True if callers may be sent here.
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool isStopping() const { return is_stopping_; }
-    [[nodiscard]] std::size_t inFlight() const { return calls_.size() + relay_.inFlight(); }
+    [[nodiscard]] std::size_t inFlight() const { return calls_.size() + intake_.waitingCount() + relay_.inFlight(); }
     [[nodiscard]] policy::RouteTable& table() { return table_; }
     [[nodiscard]] const fleet::NodeDirectory& directory() const { return directory_; }
     [[nodiscard]] const policy::RouteTable& table() const { return table_; }
@@ -95,12 +96,20 @@
     /// What the instance is asked for and can give.
     [[nodiscard]] decision::ServiceLoad serviceLoad() { return relay_.serviceLoad(); }
     [[nodiscard]] const quarantine::Quarantine& quarantine() const { return quarantine_; }
+    [[nodiscard]] const quota::QuotaClient& quota() const { return quota_; }
+    /// Shards of the quotas that this node hands out the tokens of.
+    [[nodiscard]] std::size_t quotaShards() const { return shard_keeper_.grantingCount(); }
+    /// How long ago the table was known to be the newest; nothing if it never was.
+    [[nodiscard]] std::optional<Duration> tableAge() const { return lease_.age(ports_.clock.now()); }
     [[nodiscard]] decision::RepeatWindow repeatWindow() { return relay_.repeatWindow(); }
 
 private:
     [[nodiscard]] static wire::NodeRecord firstRecord(const Settings& settings);
-    [[nodiscard]] std::optional<HttpAnswer> refusalOf(const HttpRequest& request, const policy::RoutePtr& route) const;
-    entry::EntryPlan plan(HttpRequest request, const policy::RoutePtr& route);
+    void onIntake(CallNumber number, HttpRequest request, entry::CallIntake::Outcome outcome,
+                  const ReplyCallback& reply);
+    void turnAway(const HttpRequest& request, const entry::TurnedAway& turned, const ReplyCallback& reply);
+    void beginCall(CallNumber number, HttpRequest request, const entry::Admitted& admitted, const ReplyCallback& reply);
+    entry::EntryPlan plan(HttpRequest request, const entry::Admitted& admitted);
     std::string serviceFor(const wire::Route& route);
     CallNumber relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double machineShare(const std::string& service) const;
@@ -124,6 +133,7 @@
     std::uint64_t logged_counted_before_ = 0;
     sigc::signal<void(const entry::EntryReport&)> signal_call_ended_;
     policy::RouteTable table_;
+    policy::TableLease lease_;
     fleet::NodeDirectory directory_;
     fleet::Gossip gossip_;
     fleet::FailureDetector failure_detector_;
@@ -136,10 +146,19 @@
     decision::Admission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
+    quota::ShardKeeper shard_keeper_;
+    quota::QuotaClient quota_;
+    entry::CallIntake intake_;
     decision::UsualDeadlines deadlines_;
     std::map<std::string, policy::TrafficDivider> dividers_;  ///< By route.
     CallNumber last_call_ = 0;
     std::map<CallNumber, std::unique_ptr<entry::EntryCall>> calls_;
+    /// What a call of calls_ has taken from its tenant's quota.
+    struct Spent {
+        std::string tenant;
+        quota::Token token;
+    };
+    std::map<CallNumber, Spent> spent_;
     std::map<CallNumber, relay::RelayService::Number> relayed_;
     std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;
     TimerHandle ended_timer_;
--- a/src/sidecar/store_session.cc
+++ b/src/sidecar/store_session.cc
@@ -7,7 +7,7 @@
 
 StoreSession::StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
                            fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table,
-                           const Knobs& knobs)
+                           policy::TableLease& lease, const Knobs& knobs)
     : clock_(clock),
       random_(random),
       log_(log),
@@ -15,13 +15,21 @@
       directory_(directory),
       gossip_(gossip),
       table_(table),
+      lease_(lease),
       knobs_(knobs),
       list_pause_(knobs.first_store_pause),
-      table_pause_(knobs.first_store_pause) {}
+      table_pause_(knobs.first_store_pause),
+      refresher_(clock, random, gossip, table, lease, knobs.table_refresher, [this] { refreshTable(); }) {}
 
 void StoreSession::start() {
+    table_.signalAdopted().connect([this] {
+        if (!is_following_) {
+            resumeTable();
+        }
+    });
     announce();
     readTable();
+    refresher_.start();
 }
 
 Duration StoreSession::nextPause(Duration* pause) {
@@ -65,7 +73,35 @@
 }
 
 void StoreSession::readTable() {
-    store_.readTable([this](std::optional<TableRead> read) { onTableRead(std::move(read)); });
+    is_following_ = true;
+    store_.readTable([this, sent = clock_.now()](std::optional<TableRead> read) {
+        adopt(&read, sent);
+        onTableRead(std::move(read));
+    });
+}
+
+void StoreSession::refreshTable() {
+    store_.readTable([this, sent = clock_.now()](std::optional<TableRead> read) {
+        const bool is_read = adopt(&read, sent);
+        if (!is_read) {
+            log_.write(Event("store_failed").with("step", "refresh"));
+        }
+        refresher_.onReadEnded(is_read);
+    });
+}
+
+/// A read, not a watch, confirms that the table is the newest. @return true if the store has answered.
+bool StoreSession::adopt(std::optional<TableRead>* read, TimePoint sent) {
+    if (!*read) {
+        return false;
+    }
+    auto& table = (*read)->table;
+    if (table && table_.adopt(std::move(*table))) {
+        log_.write(Event("table_adopted").with("version", table_.version()).with("from", "store"));
+    }
+    table.reset();
+    lease_.onRead(sent);
+    return true;
 }
 
 void StoreSession::watchTable(std::uint64_t revision) {
@@ -89,6 +125,10 @@
 
 /// A watch that failed goes on from where it was: nothing is lost as long as the history is kept.
 void StoreSession::resumeTable() {
+    is_following_ = !refresher_.isActive();
+    if (!is_following_) {
+        return;
+    }
     if (revision_ == 0) {
         readTable();
     } else {
--- a/src/sidecar/store_session.h
+++ b/src/sidecar/store_session.h
@@ -14,11 +14,13 @@
 
 namespace dewcrank::sidecar {
 
-/// Two chains of calls, each with one call under way: announce, then list; read, then watch.
+/// Two chains of calls, each with one call under way: announce, then list; read, then watch. Where keys are bound to a
+/// lease the table is read when that needs it, by few nodes for all, instead of being watched by each.
 class StoreSession {
 public:
     StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
-                 fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table, const Knobs& knobs);
+                 fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table,
+                 policy::TableLease& lease, const Knobs& knobs);
     void start();
     /// Takes this node off the store's list; it is not coming back.
     void withdraw();
@@ -30,6 +32,8 @@
     void list();
     void onList(const std::vector<NodeAddress>& nodes);
     void readTable();
+    void refreshTable();
+    bool adopt(std::optional<TableRead>* read, TimePoint sent);
     void watchTable(std::uint64_t revision);
     void resumeTable();
     void onTableRead(std::optional<TableRead> read);
@@ -42,13 +46,16 @@
     fleet::NodeDirectory& directory_;
     fleet::Gossip& gossip_;
     policy::RouteTable& table_;
+    policy::TableLease& lease_;
     const Knobs& knobs_;
     bool has_list_ = false;
+    bool is_following_ = false;   ///< A read or a watch is under way, or its retry is due.
     std::uint64_t revision_ = 0;  ///< Of the store, from which the watch goes on; 0: read anew.
     Duration list_pause_;
     Duration table_pause_;
     TimerHandle list_timer_;
     TimerHandle table_timer_;
+    TableRefresher refresher_;
 };
 
 }  // namespace dewcrank::sidecar
--- /dev/null
+++ b/tests/simulation/tenants_test.cc
@@ -0,0 +1,280 @@
+/// Callers with keys in a simulated fleet, under faults: who may call, what a revoked key still runs, and quotas over
+/// all machines in each sliding window, judged from what the instances have seen.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "sim/sidecar_fleet.h"
+#include "src/base/http_status.h"
+
+using namespace dewcrank;
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 3;
+constexpr Duration kLoadTime = 24s;
+
+wire::Tenant tenantOf(const std::string& name, double rate, double burst, int keys = 1) {
+    wire::Tenant tenant;
+    tenant.set_name(name);
+    tenant.set_rate_per_s(rate);
+    tenant.set_burst(burst);
+    for (int number = 0; number < keys; ++number) {
+        tenant.add_keys("key-of-" + name + "-" + std::to_string(number));
+    }
+    return tenant;
+}
+
+/// Within its limit; at a few requests a second over all nodes; far beyond its limit; without one; and another whose
+/// second key is taken away.
+std::vector<wire::Tenant> tenants() {
+    return {tenantOf("large", 80, 80), tenantOf("small", 4, 4), tenantOf("hot", 20, 20), tenantOf("free", 0, 0),
+            tenantOf("rotating", 0, 0, 2)};
+}
+
+std::vector<sim::FleetService> services(std::size_t machines) {
+    sim::InstanceOptions browse;
+    browse.service = "browse";
+    browse.work = 30ms;
+    browse.slots = 40;
+    browse.inner_host = "inner.example";
+    sim::InstanceOptions leaf;
+    leaf.service = "leaf";
+    leaf.work = 15ms;
+    leaf.slots = 20;
+    return {{browse, machines / 2}, {leaf, machines - machines / 2}};
+}
+
+void revoke(sim::SidecarFleet& fleet, Duration after) {
+    fleet.after(after, [&fleet] {
+        fleet.changeTenants([](std::vector<wire::Tenant>* all) { all->back().mutable_keys()->RemoveLast(); });
+    });
+}
+
+void storeDown(sim::SidecarFleet& fleet, Duration from, Duration to) {
+    fleet.after(from, [&fleet] { fleet.store().setDown(true); });
+    fleet.after(to, [&fleet] { fleet.store().setDown(false); });
+}
+
+void everyMachine(sim::SidecarFleet& fleet, const std::function<void(std::size_t)>& act) {
+    for (std::size_t machine = 0; machine < fleet.machineCount(); ++machine) {
+        act(machine);
+    }
+}
+
+void cutZone(sim::SidecarFleet& fleet, Duration from, Duration to, bool from_store_too) {
+    const auto cut = [&fleet, from_store_too](bool is_cut) {
+        for (const char* other : {"zone1", "zone2"}) {
+            fleet.network().setCut("zone0", other, is_cut);
+            fleet.network().setCut(other, "zone0", is_cut);
+        }
+        for (std::size_t machine = 0; from_store_too && machine < fleet.machineCount(); machine += 3) {
+            fleet.store().setTurnedAway(fleet.machineClock(machine), is_cut);
+        }
+    };
+    fleet.after(from, [cut] { cut(true); });
+    fleet.after(to, [cut] { cut(false); });
+}
+
+using Fault = std::function<void(sim::SidecarFleet&)>;
+
+const std::map<std::string, Fault> kFaults = {
+    {"none", [](sim::SidecarFleet&) {}},
+    {"the store away for 4.5 s", [](sim::SidecarFleet& fleet) { storeDown(fleet, 6s, 10500ms); }},
+    {"the store away for 9 s, a key revoked just before",
+     [](sim::SidecarFleet& fleet) { storeDown(fleet, 5010ms, 14s); }},
+    {"the store sixty times slower",
+     [](sim::SidecarFleet& fleet) {
+         fleet.after(4s, [&fleet] { fleet.store().setAnswerTime(240ms); });
+         fleet.after(12s, [&fleet] { fleet.store().setAnswerTime(4ms); });
+     }},
+    {"a third of the nodes turned away by the store",
+     [](sim::SidecarFleet& fleet) {
+         for (std::size_t machine = 0; machine < fleet.machineCount(); machine += 3) {
+             fleet.after(2s, [&fleet, machine] { fleet.store().setTurnedAway(fleet.machineClock(machine), true); });
+             fleet.after(14s, [&fleet, machine] { fleet.store().setTurnedAway(fleet.machineClock(machine), false); });
+         }
+     }},
+    {"a zone cut off from the others, not from the store",
+     [](sim::SidecarFleet& fleet) { cutZone(fleet, 4s, 16s, false); }},
+    {"a zone cut off from all", [](sim::SidecarFleet& fleet) { cutZone(fleet, 4s, 16s, true); }},
+    {"all nodes killed at once",
+     [](sim::SidecarFleet& fleet) {
+         fleet.after(7s, [&fleet] { everyMachine(fleet, [&](std::size_t it) { fleet.killNode(it); }); });
+         fleet.after(8s, [&fleet] { everyMachine(fleet, [&](std::size_t it) { fleet.startNode(it); }); });
+     }},
+    {"nodes restart while the store is away",
+     [](sim::SidecarFleet& fleet) {
+         storeDown(fleet, 4s, 13s);
+         for (const std::size_t machine : {1U, 4U, 7U}) {
+             fleet.after(6s, [&fleet, machine] { fleet.killNode(machine); });
+             fleet.after(7s, [&fleet, machine] { fleet.startNode(machine); });
+         }
+     }},
+    {"nodes stopped in turn",
+     [](sim::SidecarFleet& fleet) {
+         everyMachine(fleet, [&](std::size_t it) {
+             fleet.after(1s + 1s * static_cast<int>(it), [&fleet, it] { fleet.cycleNode(it); });
+         });
+     }},
+    {"nodes killed in turn",
+     [](sim::SidecarFleet& fleet) {
+         everyMachine(fleet, [&](std::size_t it) {
+             fleet.after(1s + 800ms * static_cast<int>(it), [&fleet, it] { fleet.killNode(it); });
+             fleet.after(2s + 800ms * static_cast<int>(it), [&fleet, it] { fleet.startNode(it); });
+         });
+     }},
+    {"machines suspended over a revocation",
+     [](sim::SidecarFleet& fleet) {
+         for (const std::size_t machine : {0U, 3U, 6U, 9U}) {
+             fleet.after(4500ms, [&fleet, machine] { fleet.suspendMachine(machine, 6s); });
+         }
+     }},
+    {"limits that go down and up",
+     [](sim::SidecarFleet& fleet) {
+         for (int change = 0; change < 4; ++change) {
+             fleet.after(4s + 4s * change, [&fleet, change] {
+                 fleet.changeTenants([change](std::vector<wire::Tenant>* all) {
+                     all->front().set_rate_per_s(change % 2 == 0 ? 15 : 80);
+                     all->front().set_burst(change % 2 == 0 ? 15 : 80);
+                 });
+             });
+         }
+     }},
+};
+
+/// How many of the requests that show a key were answered with a status.
+std::size_t answeredWith(const sim::SidecarFleet& fleet, const std::string& key, int status) {
+    return static_cast<std::size_t>(
+        std::count_if(fleet.requests().begin(), fleet.requests().end(),
+                      [&](const auto& it) { return it->key == key && it->status == status; }));
+}
+
+double servedShare(const sim::SidecarFleet& fleet, const std::string& key) {
+    const auto asked =
+        std::count_if(fleet.requests().begin(), fleet.requests().end(), [&](const auto& it) { return it->key == key; });
+    return static_cast<double>(answeredWith(fleet, key, kHttpOk)) / static_cast<double>(std::max<long>(1, asked));
+}
+
+void runUnder(sim::SidecarFleet& fleet, const Fault& fault) {
+    fleet.putTable("browse", "browse", "leaf");
+    fleet.runFor(4s);
+    const auto end = fleet.queue().now() + kLoadTime;
+    fleet.generateKeyedLoad("key-of-large-0", 50, end);
+    fleet.generateKeyedLoad("key-of-small-0", 2, end);
+    fleet.generateKeyedLoad("key-of-hot-0", 80, end);
+    fleet.generateKeyedLoad("key-of-free-0", 10, end);
+    fleet.generateKeyedLoad("key-of-rotating-0", 5, end);
+    fleet.generateKeyedLoad("key-of-rotating-1", 20, end);
+    fleet.generateKeyedLoad("no-key-at-all", 5, end);
+    revoke(fleet, 5s);
+    fault(fleet);
+    fleet.runFor(kLoadTime + 4s);
+}
+
+std::map<std::string, std::string> breachesOf(const sim::SidecarFleet& fleet) {
+    std::map<std::string, std::string> found;
+    for (const auto& breach : fleet.breaches()) {
+        found[breach.promise] = breach.detail;
+    }
+    return found;
+}
+
+/// A mechanism that is switched off, and the promise that must be seen broken under a fault.
+struct Weakened {
+    const char* fault;
+    bool Weakening::*mechanism;
+    const char* promise;
+};
+
+const Weakened kWeakened[] = {
+    {"a zone cut off from all", &Weakening::ignores_table_age, "revoked keys run nothing"},
+    {"none", &Weakening::hands_on_keys, "keys stay at the entry"},
+    {"none", &Weakening::hands_on_keys, "runs name their caller's tenant"},
+    {"none", &Weakening::grants_beyond_quota, "quotas hold"},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(simulation_tenants)
+
+BOOST_AUTO_TEST_CASE(no_promise_on_keys_and_quotas_breaks_under_faults) {
+    for (const auto& [name, fault] : kFaults) {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            sim::SidecarFleet fleet(seed, services(12), {}, tenants());
+            runUnder(fleet, fault);
+            for (const auto& [promise, detail] : breachesOf(fleet)) {
+                BOOST_ERROR(name << ", seed " << seed << ": " << promise << ", such as " << detail);
+            }
+            BOOST_TEST(answeredWith(fleet, "no-key-at-all", kHttpOk) == 0U, name);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(each_promise_on_keys_and_quotas_breaks_without_its_mechanism) {
+    for (const auto& row : kWeakened) {
+        Weakening weakening;
+        weakening.*row.mechanism = true;
+        sim::SidecarFleet fleet(1, services(12), weakening, tenants());
+        runUnder(fleet, kFaults.at(row.fault));
+        BOOST_TEST(breachesOf(fleet).contains(row.promise), row.promise);
+    }
+}
+
+/// What is within its limit is served, however small its tenant is; what is beyond it is not owed.
+BOOST_AUTO_TEST_CASE(tenants_within_their_limits_are_served) {
+    for (const std::size_t machines : {20U, 80U}) {
+        sim::SidecarFleet fleet(1, services(machines), {}, tenants());
+        runUnder(fleet, kFaults.at("none"));
+        BOOST_TEST(breachesOf(fleet).empty());
+        for (const char* key : {"key-of-large-0", "key-of-small-0", "key-of-free-0", "key-of-rotating-0"}) {
+            BOOST_TEST(servedShare(fleet, key) > 0.98, key << " at " << machines << ": " << servedShare(fleet, key));
+        }
+        const auto hot = static_cast<double>(answeredWith(fleet, "key-of-hot-0", kHttpOk)) / toSeconds(kLoadTime);
+        BOOST_TEST(hot > 0.93 * 20, hot << " a second, of a limit of 20");
+        BOOST_TEST(answeredWith(fleet, "key-of-rotating-1", kHttpUnauthorized) > 200U);
+    }
+}
+
+/// While a way to the store stands, direct or through peers, no proper request is refused for an old table; nor in the
+/// first three seconds in which the store is away for all.
+BOOST_AUTO_TEST_CASE(nodes_that_the_store_turns_away_go_by_their_peers) {
+    const struct {
+        const char* fault;
+        Duration excused_from;  ///< From the begin of the load on.
+    } cases[] = {{"a third of the nodes turned away by the store", kLoadTime},
+                 {"the store sixty times slower", kLoadTime},
+                 {"the store away for 4.5 s", 9s}};
+    for (const auto& entry : cases) {
+        sim::SidecarFleet fleet(2, services(20), {}, tenants());
+        const auto excused = fleet.queue().now() + 4s + entry.excused_from;
+        runUnder(fleet, kFaults.at(entry.fault));
+        const auto refused = std::count_if(fleet.requests().begin(), fleet.requests().end(), [&](const auto& it) {
+            return it->body == "table-too-old\n" && it->sent < excused;
+        });
+        BOOST_TEST(refused <= 2, entry.fault << ": " << refused);
+    }
+}
+
+/// Few nodes read for all: calls to the store do not follow the number of nodes.
+BOOST_AUTO_TEST_CASE(few_nodes_read_the_table_for_all) {
+    for (const std::size_t machines : {20U, 80U}) {
+        sim::SidecarFleet fleet(1, services(machines), {}, tenants());
+        runUnder(fleet, kFaults.at("none"));
+        const auto a_node = static_cast<double>(fleet.store().calls()) / static_cast<double>(machines);
+        BOOST_TEST(a_node < 12, machines << " nodes: " << a_node << " calls each in 32 s");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(quotas_hold_over_300_nodes) {
+    sim::SidecarFleet fleet(1, services(300), {}, tenants());
+    runUnder(fleet, kFaults.at("a zone cut off from all"));
+    for (const auto& [promise, detail] : breachesOf(fleet)) {
+        BOOST_ERROR(promise << ", such as " << detail);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -148,4 +148,38 @@
     BOOST_TEST(directory.hash() == other.hash());
 }
 
+/// Only an answer from there tells who holds an address; until it is heard anew, or elsewhere, the former holder is not
+/// used, whatever rumors still say of it.
+BOOST_AUTO_TEST_CASE(a_node_whose_address_another_one_has_is_not_reachable) {
+    std::vector<std::string> shared;
+    directory.signalAddressShared().connect(
+        [&](const std::string& former, const std::string& latter) { shared.push_back(former + " " + latter); });
+    const auto at = [](const std::string& name, std::uint64_t incarnation, std::uint64_t sequence,
+                       const char* address) {
+        auto record = recordOf(name, incarnation, sequence);
+        record.set_address(address);
+        return record;
+    };
+    const auto isReachable = [&](const char* name) { return fleet::NodeDirectory::isReachable(*directory.find(name)); };
+    directory.merge(at("old", 9, 1, "x:1"));
+    directory.merge(at("new", 2, 1, "x:1"));  // By its clock it started earlier.
+    BOOST_TEST(shared == std::vector<std::string>{"old new"}, boost::test_tools::per_element());
+    BOOST_TEST(isReachable("old"));
+    directory.onDisplaced("old");
+    BOOST_TEST(!isReachable("old"));
+    directory.merge(at("old", 9, 2, "x:1"));  // A delayed rumor.
+    directory.onHeard("old");                 // A delayed message.
+    BOOST_TEST(!isReachable("old"));
+    directory.onReached("old");  // The address has gone back.
+    BOOST_TEST(isReachable("old"));
+    directory.onDisplaced("old");
+    directory.merge(at("old", 10, 1, "x:1"));  // A new life.
+    BOOST_TEST(isReachable("old"));
+    directory.onDisplaced("old");
+    directory.merge(at("old", 10, 2, "y:1"));  // Elsewhere.
+    BOOST_TEST(isReachable("old"));
+    directory.merge(at("former", 7, 1, "self:1"));
+    BOOST_TEST(!isReachable("former"));  // This node itself holds that address.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -84,6 +84,50 @@
     BOOST_TEST(table.limits().idle_timeout_ms() == 15000U);
 }
 
+BOOST_AUTO_TEST_CASE(tenants_of_a_configuration_are_read_and_written_back) {
+    auto document = nlohmann::json::parse(kDocument);
+    document["Tenants"] = nlohmann::json::parse(
+        R"({"a":{"ApiKeys":["k1","k2"],"Priority":0,"RatePerS":20,"Burst":25,"Else":1},"b":{"ApiKeys":["k3"]}})");
+    document["Routes"].begin().value()["Anonymous"] = true;
+    const auto table = platform::readConfigDocument(document);
+    BOOST_TEST(table.routes(0).is_open());
+    BOOST_TEST(!table.routes(1).is_open());
+    BOOST_TEST(table.tenants_size() == 2);
+    BOOST_TEST(table.tenants(0).keys(1) == "k2");
+    BOOST_TEST(table.tenants(0).has_priority());
+    BOOST_TEST(table.tenants(0).burst() == 25);
+    BOOST_TEST(!table.tenants(1).has_priority());
+    BOOST_TEST(table.tenants(1).rate_per_s() == 0);
+    auto changed = table;
+    changed.mutable_tenants(0)->add_keys("k4");
+    const auto written = platform::writeConfigDocument(changed, document);
+    BOOST_TEST(written["Tenants"]["a"].dump() ==
+               R"({"ApiKeys":["k1","k2","k4"],"Burst":25,"Else":1,"Priority":0,"RatePerS":20})");
+    BOOST_TEST(platform::readConfigDocument(written).SerializeAsString() == changed.SerializeAsString());
+}
+
+BOOST_FIXTURE_TEST_CASE(leases_are_written_under_their_revision, StoreFixture) {
+    std::optional<std::vector<LeaseRecord>> leases;
+    store.readLeases([&](std::optional<std::vector<LeaseRecord>> read) { leases = std::move(read); });
+    http.answer(200, R"({"items":[{"Metadata":{"Name":"shard-1","Revision":7},"Spec":{"Holder":"n1","Incarnation":3}}],
+                         "More":false,"At":9})");
+    BOOST_TEST(leases->at(0).name == "shard-1");
+    BOOST_TEST(leases->at(0).holder == "n1");
+    BOOST_TEST(leases->at(0).incarnation == 3U);
+    BOOST_TEST(leases->at(0).revision == 7U);
+    int done = 0;
+    store.putLease(leases->at(0), [&](bool is_done) { done += is_done ? 1 : 0; });
+    BOOST_TEST(http.asked.back().line.starts_with("PUT "));
+    http.answer(409, "{}");
+    store.putLease({"shard-2", "n1", 3, 0}, [&](bool is_done) { done += is_done ? 1 : 0; });
+    BOOST_TEST(http.asked.back().line.starts_with("POST "));
+    http.answer(200, "{}");
+    BOOST_TEST(done == 1);
+    store.readLeases([&](std::optional<std::vector<LeaseRecord>> read) { leases = std::move(read); });
+    http.answer(200, R"({"items":[{"Metadata":{}}]})");
+    BOOST_TEST(!leases.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(the_table_is_read_then_watched, StoreFixture) {
     std::optional<TableRead> read;
     const auto keep = [&](std::optional<TableRead> result) { read = std::move(result); };
--- /dev/null
+++ b/tests/unit/quota/quota_test.cc
@@ -0,0 +1,162 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
+
+#include "src/adapters/seeded_random.h"
+#include "src/quota/quota_shard.h"
+#include "src/quota/shard_lease.h"
+
+using namespace dewcrank;
+
+namespace {
+
+constexpr TimePoint kStart(100s);
+
+wire::Tenant tenantOf(double rate, double burst) {
+    wire::Tenant tenant;
+    tenant.set_name("house");
+    tenant.set_rate_per_s(rate);
+    tenant.set_burst(burst);
+    return tenant;
+}
+
+/// Most tokens in any span of a window.
+double mostIn(const std::vector<TimePoint>& granted, Duration window) {
+    std::ptrdiff_t most = 0;
+    for (auto begin = granted.begin(); begin != granted.end(); ++begin) {
+        most = std::max(most, std::lower_bound(begin, granted.end(), *begin + window) - begin);
+    }
+    return static_cast<double>(most);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unit_quota)
+
+BOOST_AUTO_TEST_CASE(small_quotas_stand_in_few_shards_and_large_ones_in_all) {
+    struct Case {
+        double burst;
+        std::uint32_t shards;
+    };
+    const Case cases[] = {{0, 1}, {4, 1}, {16, 2}, {38, 4}, {64, 8}, {429, 8}};
+    for (const auto& entry : cases) {
+        const auto tenant = tenantOf(entry.burst, entry.burst);
+        std::uint32_t count = 0;
+        for (std::uint32_t shard = 0; shard < quota::kShards; ++shard) {
+            count += quota::isShardOf(tenant, shard) ? 1 : 0;
+        }
+        BOOST_TEST(count == entry.shards);
+        BOOST_TEST(quota::shardsOf(tenant) == entry.shards);
+    }
+}
+
+/// Any order of terms, questions and returned tokens: in no span of time more than its rate and its depth.
+BOOST_AUTO_TEST_CASE(shards_together_hand_out_no_more_than_the_quota) {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        adapters::SeededRandom random(seed);
+        const auto tenant =
+            tenantOf(1 + static_cast<double>(random.below(200)), static_cast<double>(random.below(200)));
+        std::vector<quota::QuotaShard> shards;
+        for (std::uint32_t shard = 0; shard < quota::kShards; ++shard) {
+            shards.emplace_back(shard, kStart);
+        }
+        std::vector<TimePoint> granted;
+        auto now = kStart;
+        for (int step = 0; step < 20'000; ++step) {
+            now += Duration(static_cast<std::int64_t>(random.below(3000)));
+            const auto place = static_cast<std::uint32_t>(random.below(quota::kShards));
+            if (random.below(500) == 0) {
+                shards[place] = quota::QuotaShard(place, now);  // A new owner.
+            }
+            const auto wanted = static_cast<std::uint32_t>(1 + random.below(3));
+            const auto line = shards[place].grant(now, tenant, wanted, 0);
+            granted.insert(granted.end(), line.granted(), now);
+            BOOST_REQUIRE(line.granted() <= wanted);
+            BOOST_REQUIRE((line.granted() == wanted || line.next_ms() > 0));
+        }
+        for (const auto window : {Duration(200ms), Duration(5s)}) {
+            const double allowed = tenant.rate_per_s() * toSeconds(window) + tenant.burst() + quota::kShards;
+            BOOST_TEST(mostIn(granted, window) <= allowed, "seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_limit_that_changes_counts_at_once_and_none_is_none) {
+    quota::QuotaShard shard(quota::firstShardOf("house"), kStart);
+    BOOST_TEST(shard.grant(kStart + 10s, tenantOf(4, 4), 10, 0).granted() == 4U);
+    BOOST_TEST(shard.grant(kStart + 10s, tenantOf(0, 0), 10, 0).granted() == 10U);
+    const auto denied = shard.grant(kStart + 10s, tenantOf(2, 2), 1, 0);
+    BOOST_TEST(denied.granted() == 0U);
+    BOOST_TEST(denied.next_ms() > 400U);
+    BOOST_TEST(denied.next_ms() < 600U);
+    BOOST_TEST(shard.grant(kStart + 10s, tenantOf(2, 2), 1, 1).granted() == 1U);  // One came back.
+}
+
+/// The store names one owner after the other, at random times; each hears of it late, or not at all, and is suspended
+/// at random. No two of them may hand out at the same time.
+std::size_t overlaps(std::uint64_t seed, double margin_share) {
+    constexpr std::size_t kNodes = 4;
+    adapters::SeededRandom random(seed);
+    quota::ShardLeaseKnobs knobs;
+    knobs.margin_share = margin_share;
+    std::vector<quota::ShardLease> leases(kNodes, quota::ShardLease(knobs));
+    struct Answer {
+        TimePoint asked;
+        TimePoint answered;
+        std::size_t node;
+        std::size_t named;  ///< Who it was in the middle.
+    };
+    std::vector<Answer> answers;
+    std::optional<std::size_t> owner;
+    std::size_t found = 0;
+    for (auto now = kStart; now < kStart + 300s; now += 10ms) {
+        if (random.below(300) == 0) {
+            owner = static_cast<std::size_t>(random.below(kNodes));
+        }
+        const auto node = static_cast<std::size_t>(random.below(kNodes));
+        const bool is_answered = random.below(3) > 0;
+        if (owner && is_answered) {
+            const auto late = Duration(static_cast<std::int64_t>(random.below(4'000'000)));
+            answers.push_back({now, now + late, node, *owner});
+        }
+        for (const auto& it : answers) {
+            if (it.answered > now || it.answered <= now - 10ms) {
+                continue;
+            }
+            if (it.named == it.node) {
+                leases[it.node].onNamed(it.asked, now, false);
+            } else {
+                leases[it.node].onLost();
+            }
+        }
+        std::erase_if(answers, [now](const Answer& it) { return it.answered <= now; });
+        const auto granting =
+            std::count_if(leases.begin(), leases.end(), [now](const auto& it) { return it.mayGrant(now); });
+        found += granting > 1 ? 1 : 0;
+    }
+    return found;
+}
+
+BOOST_AUTO_TEST_CASE(no_two_owners_hand_out_at_the_same_time) {
+    std::size_t without_waiting = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST(overlaps(seed, 0.04) == 0U, "seed " << seed);
+        without_waiting += overlaps(seed, -0.9);  // Owners hold on longer, and successors wait for less.
+    }
+    BOOST_TEST(without_waiting > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(whoever_follows_an_owner_that_is_known_to_be_gone_does_not_wait) {
+    quota::ShardLease lease{{}};
+    lease.onNamed(kStart, kStart + 4ms, true);
+    BOOST_TEST(lease.mayGrant(kStart + 4ms));
+    quota::ShardLease other{{}};
+    other.onNamed(kStart, kStart + 4ms, false);
+    BOOST_TEST(!other.mayGrant(kStart + 4ms));
+    other.onNamed(kStart + 6s, kStart + 6004ms, false);
+    BOOST_TEST(other.mayGrant(kStart + 7s));
+    BOOST_TEST(!other.mayGrant(kStart + 12s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
