--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -41,6 +41,10 @@
         return;
     }
     const auto target = services_.selector.choose(plan_.service, tried_);
+    if (target.node.empty() && tried_.empty() && !has_awaited_) {
+        awaitInstance();
+        return;
+    }
     if (target.node.empty()) {
         giveUp(tried_.empty() ? "no-instance" : "no-other-instance", false);
         return;
@@ -48,6 +52,20 @@
     sendTo(target);
 }
 
+void EntryCall::awaitInstance() {
+    has_awaited_ = true;
+    const auto objective = std::chrono::milliseconds(plan_.route->objective_ms());
+    const auto wait = std::chrono::duration_cast<Duration>(objective * services_.knobs.absent_wait_share);
+    absent_timer_ = services_.clock.startTimer(wait, [this] { sendToNext(); });
+    on_node_changed_ = services_.directory.signalChanged().connect([this](const std::string&) {
+        if (services_.selector.relayCount(plan_.service) > 0) {
+            on_node_changed_.disconnect();
+            // Not from within the change: what follows may look at the directory.
+            absent_timer_ = services_.clock.startTimer(Duration::zero(), [this] { sendToNext(); });
+        }
+    });
+}
+
 relay::RelayRequest EntryCall::relayRequest(const RelayTarget& target) const {
     const auto objective = std::chrono::milliseconds(plan_.route->objective_ms());
     const auto share = std::chrono::duration_cast<Duration>(objective * services_.knobs.longest_wait_share);
@@ -68,6 +86,7 @@
 }
 
 void EntryCall::sendTo(const RelayTarget& target) {
+    on_node_changed_.disconnect();
     tried_.insert(target.node);
     relay_ = target.node;
     services_.selector.onSent(relay_);
@@ -225,6 +244,8 @@
 }
 
 void EntryCall::stopAttempt() {
+    on_node_changed_.disconnect();
+    absent_timer_.reset();
     if (own_ != 0) {
         services_.own_relay.cancel(std::exchange(own_, 0));
     }
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -32,6 +32,9 @@
 struct EntryKnobs {
     /// A request waits in a relay's queue for this share of its latency objective at most.
     double longest_wait_share = 0.25;
+    /// While no instance of the service is known, one may be coming back: a request waits for it for this share of its
+    /// latency objective. Refused at once, its caller would be away for longer than that.
+    double absent_wait_share = 0.125;
     /// Relays that may refuse one request before it is refused.
     std::size_t most_refusals = 3;
     /// When a refused caller may come back: uniform between these.
@@ -120,6 +123,7 @@
 
 private:
     void sendToNext();
+    void awaitInstance();
     void sendTo(const RelayTarget& target);
     [[nodiscard]] relay::RelayRequest relayRequest(const RelayTarget& target) const;
     void onRelayAnswer(AttemptResult result);
@@ -146,6 +150,8 @@
     EndCallback end_;
     TimePoint began_{};
     TimerHandle deadline_timer_;
+    TimerHandle absent_timer_;             ///< While it waits for an instance to come back.
+    sigc::connection on_node_changed_;     ///< The same.
     std::string relay_;                    ///< The node that has the attempt now; empty: none.
     AttemptHandle attempt_;                ///< At another node.
     TimePoint sent_{};                     ///< When that was sent.
@@ -154,6 +160,7 @@
     std::size_t refusals_ = 0;
     std::uint32_t offered_ = 0;  ///< Instances that were sent the request.
     bool is_counted_ = false;    ///< A relay has counted it among its service's requests.
+    bool has_awaited_ = false;   ///< That an instance comes back.
     bool may_have_run_ = false;
     std::optional<HttpAnswer> failure_;  ///< An instance's own, given if no other instance does better.
     bool is_overload_ = false;           ///< Refused for want of room.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -33,7 +33,7 @@
         [this] { spread(directory_.self().name(), knobs_.first_fanout, Duration::zero()); });
     directory_.signalAddressShared().connect(
         [this](const std::string& former, const std::string& latter) { settleAddress(former, latter); });
-    table_.signalAdopted().connect([this] { spread(kTableRumor, knobs_.rumor_fanout, Duration::zero()); });
+    table_.signalAdopted().connect([this] { spread(kTableRumor, knobs_.table_fanout, Duration::zero()); });
 }
 
 void Gossip::start() {
--- a/src/sidecar/store_session.cc
+++ b/src/sidecar/store_session.cc
@@ -1,10 +1,22 @@
 #include "src/sidecar/store_session.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace dewcrank::sidecar {
 
+namespace {
+
+constexpr Duration kWatcherLook = 1s;
+
+std::uint64_t weightOf(const std::string& node) {
+    return XXH3_64bits(node.data(), node.size());
+}
+
+}  // namespace
+
 StoreSession::StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
                            fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table,
                            policy::TableLease& lease, const Knobs& knobs)
@@ -30,6 +42,29 @@
     announce();
     readTable();
     refresher_.start();
+    if (lease_.isRequired()) {
+        lookWhoWatches();
+    }
+}
+
+/// Whoever watched may be gone, or out of reach.
+void StoreSession::lookWhoWatches() {
+    watcher_timer_ = clock_.startTimer(kWatcherLook, [this] { lookWhoWatches(); });
+    if (!is_following_ && table_.isKnown() && isWatcher()) {
+        resumeTable();
+    }
+}
+
+/// The node of the zone that ranks first by a hash of its name, among those that are reached.
+bool StoreSession::isWatcher() const {
+    const auto& self = directory_.self();
+    const auto weight = weightOf(self.name());
+    const auto& others = directory_.others();
+    return std::none_of(others.begin(), others.end(), [&](const auto& entry) {
+        const auto& record = entry.second.record;
+        return record.zone() == self.zone() && !record.is_stopping() &&
+               fleet::NodeDirectory::isReachable(entry.second) && weightOf(record.name()) > weight;
+    });
 }
 
 Duration StoreSession::nextPause(Duration* pause) {
@@ -125,7 +160,7 @@
 
 /// A watch that failed goes on from where it was: nothing is lost as long as the history is kept.
 void StoreSession::resumeTable() {
-    is_following_ = !refresher_.isActive();
+    is_following_ = !refresher_.isActive() || isWatcher();
     if (!is_following_) {
         return;
     }
--- a/src/sidecar/store_session.h
+++ b/src/sidecar/store_session.h
@@ -15,7 +15,8 @@
 namespace dewcrank::sidecar {
 
 /// Two chains of calls, each with one call under way: announce, then list; read, then watch. Where keys are bound to a
-/// lease the table is read when that needs it, by few nodes for all, instead of being watched by each.
+/// lease the table is read when that needs it, by few nodes for all, and one node of each zone watches it, so that a
+/// change is known at once: the others hear of it within a few rounds of rumors.
 class StoreSession {
 public:
     StoreSession(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
@@ -36,6 +37,8 @@
     bool adopt(std::optional<TableRead>* read, TimePoint sent);
     void watchTable(std::uint64_t revision);
     void resumeTable();
+    void lookWhoWatches();
+    [[nodiscard]] bool isWatcher() const;
     void onTableRead(std::optional<TableRead> read);
     Duration nextPause(Duration* pause);
 
@@ -55,6 +58,7 @@
     Duration table_pause_;
     TimerHandle list_timer_;
     TimerHandle table_timer_;
+    TimerHandle watcher_timer_;
     TableRefresher refresher_;
 };
 
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -306,6 +306,32 @@
     }
 }
 
+/// All instances of a service are away for a moment: who waits is served, and nobody waits for long.
+BOOST_AUTO_TEST_CASE(callers_wait_a_moment_for_a_service_that_is_coming_back) {
+    sim::SidecarFleet fleet(1, {{instanceOf("leaf", 20ms, 10), 1}, {instanceOf("browse", 20ms, 10), 3}});
+    fleet.putTable("leaf", "leaf", "leaf");
+    fleet.runFor(4s);
+    fleet.instance(0).crash();
+    fleet.runFor(500ms);
+    const auto options = instanceOf("leaf", 20ms, 10);
+    fleet.node(0)->onInstanceLeave("gone");
+    fleet.send(1, "/work/x", true);  // Finds that it is gone.
+    fleet.runFor(500ms);
+    fleet.send(1, "/work/x", true);
+    fleet.send(2, "/sign/x", false);
+    fleet.after(60ms, [&fleet, options] { fleet.instance(0).start(options); });
+    fleet.runFor(100ms);
+    fleet.instance(0).crash();
+    fleet.runFor(1s);
+    fleet.send(1, "/work/x", true);
+    fleet.runFor(200ms);
+    const auto& requests = fleet.requests();
+    BOOST_TEST(requests[1]->status == kHttpOk);
+    BOOST_TEST(requests[2]->status == kHttpOk);
+    BOOST_TEST(requests[3]->status == kHttpServiceUnavailable);
+    BOOST_TEST((requests[3]->ended - requests[3]->sent <= 140ms));
+}
+
 /// Callers of a route that may be repeated see hardly any failure of single instances. A relay has most of
 /// its slack only when it is older than a window of the repeat budget: in an earlier life it may have spent
 /// all of it. Failures at a young fleet are tried elsewhere by the ratio; without repeats there are a dozen.
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -64,6 +64,7 @@
     request.entry = entry;
     request.sent = loop_.now();
     request.deadline = kDeadline;
+    request.key = fleet_.pickKey();
     auto* seen = &fleet_.seen().addRequest(std::move(request));
     HttpRequest message;
     message.method = seen->is_repeatable ? "GET" : "POST";
@@ -71,6 +72,8 @@
     message.headers.set("Host", kHost);
     message.headers.set(names_.request_id, seen->id);
     message.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(kDeadline)));
+    message.headers.set("Authorization", names_.key_scheme + " " + seen->key);
+    message.headers.set(names_.tenant, "forged");
     auto& open = open_[number];
     open.attempt = client_.send(
         fleet_.node(entry).callers.text(), std::move(message), kDeadline + kPatience,
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -2,6 +2,7 @@
 /// The promises that a soak holds the fleet to, judged by what callers and instances have seen.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,11 @@
     Duration crash_news = 3s;        ///< After the third end of an instance, all relays know the request.
     Duration leave_slack = 1500ms;   ///< After a caller has left, for the end of its run.
     Duration table = 4s;             ///< After its acknowledgement a table is in force at every sound node.
-    Duration quiet = 4s;             ///< A node counts as sound so long after its last disturbance.
+    Duration revocation = 5s;        ///< After its table is acknowledged a revoked key runs nothing, at any node.
+    Duration quota_window = 5s;      ///< In which quotas are judged, over all nodes.
+    /// Runs of a tenant in any such window; without one here it has no limit.
+    std::map<std::string, double> most_runs{};
+    Duration quiet = 4s;  ///< A node counts as sound so long after its last disturbance.
 };
 
 /// All breaches so far. @param now requests that may still be answered are not judged.
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -41,6 +41,7 @@
     Step begin;
     Step end;
     Duration least_length{};  ///< What it begins goes on for so long by itself.
+    bool is_drawn = true;     ///< By seeds: what was added since they were drawn is given by name.
 };
 
 const std::vector<FaultInjector::Kind>& FaultInjector::kinds() {
@@ -82,6 +83,7 @@
         {"burst", Scope::kNone, false, &F::burst, &F::endBurst},
         {"crashing-requests", Scope::kNone, false, &F::beginCrashing, &F::endCrashing},
         {"resends", Scope::kNone, false, &F::resend, &F::endResend},
+        {"machine-replaced", Scope::kNode, true, &F::replaceMachine, &F::letReplacementStart, {}, false},
     };
     return all;
 }
@@ -94,6 +96,16 @@
     return names;
 }
 
+std::vector<std::string> drawnFaultNames() {
+    std::vector<std::string> names;
+    for (const auto& kind : FaultInjector::kinds()) {
+        if (kind.is_drawn) {
+            names.emplace_back(kind.name);
+        }
+    }
+    return names;
+}
+
 Duration FaultInjector::leastLength(const std::string& name) {
     const auto kind = std::find_if(kinds().begin(), kinds().end(), [&](const Kind& it) { return name == it.name; });
     return kind == kinds().end() ? Duration::zero() : kind->least_length;
@@ -255,6 +267,21 @@
     fleet_.startInstance(node);
 }
 
+/// The machine ends for good; its addresses go to one of another name, with an instance of another service.
+void FaultInjector::replaceMachine(std::size_t node) {
+    killNode(node);
+    crashInstance(node);
+    auto& it = fleet_.node(node);
+    it.instance_options.service = it.instance_options.service == "browse" ? "leaf" : "browse";
+    it.instance_options.inner_host.clear();
+    fleet_.writeSettings(node, it.name + "-replaced");
+}
+
+void FaultInjector::letReplacementStart(std::size_t node) {
+    letNodeStart(node);
+    fleet_.startInstance(node);
+}
+
 // Links --------------------------------------------------------------------------
 
 void FaultInjector::delayNode(std::size_t node) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -15,6 +15,8 @@
 
 /// Names of all kinds of faults.
 std::vector<std::string> faultNames();
+/// Names of those that a seed draws.
+std::vector<std::string> drawnFaultNames();
 
 /// Begins and ends faults.
 class FaultInjector {
@@ -27,6 +29,7 @@
 private:
     struct Kind;
     friend std::vector<std::string> faultNames();
+    friend std::vector<std::string> drawnFaultNames();
     static const std::vector<Kind>& kinds();
     void begin(const PlannedFault& fault);
 
@@ -56,6 +59,8 @@
     void mendInstance(std::size_t node);
     void moveInstance(std::size_t node);
     void moveInstanceBack(std::size_t node);
+    void replaceMachine(std::size_t node);
+    void letReplacementStart(std::size_t node);
     // Links
     void delayNode(std::size_t node);
     void cutNodeOff(std::size_t node);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -3,6 +3,7 @@
 /// instance; a stand-in of the store; and a proxy on every link between them.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -37,7 +38,10 @@
     std::unique_ptr<FaultProxy> to_node;      ///< From all other nodes.
     std::unique_ptr<FaultProxy> to_instance;  ///< From the node.
     std::unique_ptr<FaultProxy> to_store;     ///< From the node.
-    TimerHandle restart;                      ///< Of the instance, after a run has ended it.
+    std::string told_address;                 ///< For other nodes, behind its proxy,
+    std::string instance_link;                ///< and its own ways to its instance and to the store.
+    std::string store_link;
+    TimerHandle restart;  ///< Of the instance, after a run has ended it.
     AttemptHandle readiness_probe;
     int readiness_misses = 2;    ///< In a row; callers leave a node after two.
     std::size_t exits_read = 0;  ///< Lines of its file of exits.
@@ -68,10 +72,16 @@
     void startInstance(std::size_t number);
     /// Sends a signal to a node's process. @param ends it: an end that follows is expected.
     void signal(std::size_t number, int signal_number, bool ends);
+    /// Writes the settings of a node's next start: a node of another name at the same addresses.
+    void writeSettings(std::size_t number, const std::string& name);
     /// Keeps a node from being started, or lets it be.
     void hold(std::size_t number, bool is_held);
     /// Writes the operator's next table. @return its version.
     std::uint64_t putTable();
+    /// A key that a caller may show: most often one of the newest table, at times one that was taken away, or no key.
+    std::string pickKey();
+    /// What tenants with a limit may run in the window of the checks.
+    [[nodiscard]] static std::map<std::string, double> mostRuns();
     /// Paths of the routes of the newest table that callers may use.
     [[nodiscard]] const std::vector<std::string>& callerRoutes() const { return caller_routes_; }
 
@@ -86,6 +96,7 @@
     std::string directory_;
     std::size_t copies_;
     adapters::SeededRandom random_;
+    adapters::SeededRandom key_random_;  ///< Apart, so that a seed's faults and requests do not depend on keys.
     Observations seen_;
     adapters::HttpClient client_;
     standins::ObjectStore store_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -138,6 +138,7 @@
 
     void finish() {
         CheckBounds bounds{kRepeats};
+        bounds.most_runs = Fleet::mostRuns();
         if (options_.is_untimed) {
             bounds.table = kNever;
             bounds.leave_slack = kNever;
