--- a/tests/simulation/crashing_request_test.cc
+++ b/tests/simulation/crashing_request_test.cc
@@ -184,6 +184,29 @@
     }
 }
 
+/// Nobody else loses more by it than what runs at two crashes of each.
+BOOST_AUTO_TEST_CASE(other_requests_are_served_on_while_two_come_at_once) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        sim::SidecarFleet fleet(seed, services({kRead, kSign}));
+        fleet.putTable("leaf", "leaf", "leaf");
+        fleet.runFor(12s);
+        fleet.generateLoad(kLoad, fleet.queue().now() + kLoadTime, 0.3);
+        sendAgain(fleet, kRead, true, 310ms, 0);
+        sendAgain(fleet, kSign, false, 470ms, 1);
+        fleet.runFor(kLoadTime + 4s);
+        std::size_t asked = 0;
+        std::size_t served = 0;
+        for (const auto& request : fleet.requests()) {
+            if (request->path != kRead && request->path != kSign) {
+                ++asked;
+                served += request->status == kHttpOk ? 1 : 0;
+            }
+        }
+        BOOST_TEST(static_cast<double>(served) > 0.97 * static_cast<double>(asked),
+                   "seed " << seed << ": " << served << " of " << asked);
+    }
+}
+
 /// Ends one instance after the other, whatever runs there; each starts again a second later.
 void endInstancesInTurn(sim::SidecarFleet& fleet, Duration after, Duration gap, int count) {
     for (int number = 0; number < count; ++number) {
