Let a simulated fleet write its nodes' log lines to a file

Change: DEWCRANK_SIM_TRACE names a file that gets each line with virtual time and machine; each machine has a log of its own.

--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <utility>
 
 #include "src/base/http_status.h"
@@ -27,10 +28,11 @@
 
 }  // namespace
 
-/// Nothing is kept, a failing seed is run again with a log of its own; but what holds a caller's key is counted.
+/// Of one machine. Nothing is kept unless a trace is asked for; but what holds a caller's key is counted.
 class SidecarFleet::Log : public EventLog {
 public:
-    explicit Log(const std::vector<wire::Tenant>& tenants) {
+    Log(EventQueue& queue, std::string machine, const std::vector<wire::Tenant>& tenants, std::ofstream& trace)
+        : queue_(queue), machine_(std::move(machine)), trace_(trace) {
         for (const auto& tenant : tenants) {
             keys_.insert(keys_.end(), tenant.keys().begin(), tenant.keys().end());
         }
@@ -39,20 +41,24 @@
         for (const auto& key : keys_) {
             with_key_ += event.line().find(key) == std::string::npos ? 0 : 1;
         }
+        if (trace_.is_open()) {
+            trace_ << "t_ms=" << toMilliseconds(queue_.now().time_since_epoch()) << " node=" << machine_ << ' '
+                   << event.line() << '\n';
+        }
     }
     [[nodiscard]] std::size_t withKey() const { return with_key_; }
 
 private:
+    EventQueue& queue_;
+    std::string machine_;
     std::vector<std::string> keys_;
     std::size_t with_key_ = 0;
+    std::ofstream& trace_;
 };
 
-std::size_t SidecarFleet::logLinesWithKey() const {
-    return log_->withKey();
-}
-
 struct SidecarFleet::Machine {
     std::string name;
+    std::unique_ptr<Log> log;
     std::string node_address;
     std::string caller_address;
     std::string instance_address;
@@ -67,6 +73,14 @@
     int readiness_misses = 0;
 };
 
+std::size_t SidecarFleet::logLinesWithKey() const {
+    std::size_t count = 0;
+    for (const auto& machine : machines_) {
+        count += machine->log->withKey();
+    }
+    return count;
+}
+
 SidecarFleet::SidecarFleet(std::uint64_t seed, const std::vector<FleetService>& services, const Weakening& weakening,
                            std::vector<wire::Tenant> tenants, std::size_t seeds)
     : weakening_(weakening),
@@ -74,8 +88,11 @@
       random_(seed),
       network_(queue_, random_, NetworkOptions{}),
       store_(queue_),
-      log_(std::make_unique<Log>(tenants_)),
       seeds_(seeds) {
+    if (const char* path = std::getenv(kTraceVariable); path != nullptr) {
+        trace_.open(path, std::ios::app);
+        trace_ << "event=fleet_started seed=" << seed << " services=" << services.size() << '\n';
+    }
     queue_.runUntil(TimePoint(1s));  // The epoch stands for "never".
     for (std::size_t zone = 0; zone < kZones; ++zone) {
         owned_hosts_.push_back(std::make_unique<Host>(queue_, clientZone(zoneOf(zone))));
@@ -94,6 +111,7 @@
     const auto number = machines_.size();
     const auto address = "m" + std::to_string(place);
     machine->name = "m" + std::to_string(number);
+    machine->log = std::make_unique<Log>(queue_, machine->name, tenants_, trace_);
     machine->node_address = address + ":nodes";
     machine->caller_address = address + ":callers";
     machine->instance_address = address + ":instance";
@@ -184,7 +202,7 @@
         settings.knobs.quarantine.suspicion = Duration::zero();
     }
     machine.node = std::make_unique<sidecar::SidecarNode>(
-        sidecar::Ports{*machine.host, random_, *machine.http, *machine.http, *machine.store, *log_}, settings);
+        sidecar::Ports{*machine.host, random_, *machine.http, *machine.http, *machine.store, *machine.log}, settings);
     auto* node = machine.node.get();
     const auto left = [node](std::uint64_t call) { node->callerLeft(call); };
     network_.addServer(machine.node_address, Server{machine.host.get(),
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,8 @@
 inline constexpr Duration kQuotaWindow = 5s;
 inline constexpr double kQuotaOverage = 0.1;
 inline constexpr double kQuotaSlack = 20;
+/// Names the file to which nodes' log lines are appended.
+inline constexpr const char* kTraceVariable = "DEWCRANK_SIM_TRACE";
 /// After a caller has left, work may go on for this long.
 inline constexpr Duration kGrace = 500ms;
 
@@ -63,7 +66,8 @@
     std::string detail;
 };
 
-/// All of a fleet. Machines are named "m0", "m1", ... and are dealt to three zones in turn.
+/// All of a fleet. Machines are named "m0", "m1", ... and are dealt to three zones in turn. If the environment has
+/// `kTraceVariable`, what the nodes log is appended to the file that it names, with virtual time and machine.
 class SidecarFleet {
 public:
     /// @param weakening switched off in every node.
@@ -159,7 +163,7 @@
     adapters::SeededRandom random_;
     Network network_;
     ControlStoreModel store_;
-    std::unique_ptr<Log> log_;
+    std::ofstream trace_;  ///< Closed unless a trace is asked for.
     std::vector<std::unique_ptr<Machine>> machines_;
     InstanceRecords records_;
     std::vector<std::unique_ptr<CallerRequest>> requests_;
