Let a relay pay for the repeat of what fails at its instance

What callers saw: failures of one instance of three, four to six where three are allowed, though others could run their requests. Cause: the repeat budget is kept in parts, one a relay, and a repeat was paid by the relay that it went to. Ruled out: a young relay's slack (12 s old), time and attempts (offered=1 in each line). Change: the relay at which a request fails takes the repeat from its part if it has room, and says so with the result; the next relay lets it in without spending. Entries say beside a request what they would do.

--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -66,6 +66,15 @@
     });
 }
 
+/// Nothing is repeated while what runs below is overloaded, so that no relay has to pay for it.
+relay::FailurePlan EntryCall::failurePlan() const {
+    const bool is_last = offered_ + 1 >= plan_.route->max_attempts();
+    if (is_last || services_.is_overloaded(plan_) || !services_.selector.hasReachable(plan_.service, tried_)) {
+        return relay::FailurePlan::kGiveUp;
+    }
+    return plan_.route->is_repeatable() ? relay::FailurePlan::kRepeat : relay::FailurePlan::kRepeatIfNotRun;
+}
+
 relay::RelayRequest EntryCall::relayRequest(const RelayTarget& target) const {
     const auto objective = std::chrono::milliseconds(plan_.route->objective_ms());
     const auto share = std::chrono::duration_cast<Duration>(objective * services_.knobs.longest_wait_share);
@@ -73,6 +82,8 @@
     request.request = plan_.request;
     request.instance = target.instance;
     request.is_repeat = offered_ > 0;
+    request.is_repeat_paid = is_repeat_paid_;
+    request.failure_plan = failurePlan();
     request.is_counted = is_counted_;
     request.is_suspect = is_suspect_;
     request.is_last_choice =
@@ -168,6 +179,7 @@
         services_.observe(plan_, relay, result);
     }
     offered_ += result.was_offered ? 1 : 0;
+    is_repeat_paid_ = result.is_repeat_paid || (is_repeat_paid_ && !result.was_offered);
     is_counted_ = is_counted_ || relay::isCounted(result.reason);
     is_suspect_ = is_suspect_ || result.reason == relay::RelayReason::kInstanceEnded;
     is_quarantined_ = result.reason == relay::RelayReason::kQuarantined;
--- a/src/relay/relay_message.h
+++ b/src/relay/relay_message.h
@@ -13,11 +13,20 @@
 
 namespace dewcrank::relay {
 
+/// What its entry does with a request that fails at the instance that it was sent to.
+enum class FailurePlan {
+    kGiveUp,
+    kRepeatIfNotRun,  ///< Another instance is sent it if this one has provably not run it.
+    kRepeat,          ///< Another instance is sent it.
+};
+
 /// What an entry node asks a relay for.
 struct RelayRequest {
     HttpRequest request;
     std::string instance;         ///< The only instance that may run it.
     bool is_repeat = false;       ///< An instance was sent this request before.
+    bool is_repeat_paid = false;  ///< The relay at which it failed before has taken the repeat from its own budget.
+    FailurePlan failure_plan = FailurePlan::kGiveUp;
     bool is_counted = false;      ///< Another relay has counted it among its service's requests.
     bool is_suspect = false;      ///< An instance has ended while it ran this request.
     bool is_last_choice = false;  ///< No other relay will be asked if this one refuses.
@@ -61,9 +70,10 @@
 struct RelayResult {
     RelayOutcome outcome = RelayOutcome::kNotRun;
     RelayReason reason = RelayReason::kNone;
-    bool was_offered = false;   ///< An instance has been sent it.
-    bool failed_below = false;  ///< The instance answered with a failure, as one of its own calls had failed.
-    HttpAnswer answer;          ///< Only with kAnswered.
+    bool was_offered = false;     ///< An instance has been sent it.
+    bool failed_below = false;    ///< The instance answered with a failure, as one of its own calls had failed.
+    bool is_repeat_paid = false;  ///< The relay's budget has given the repeat at another instance.
+    HttpAnswer answer;            ///< Only with kAnswered.
     QueueLoad load;
     bool has_load = false;
     decision::RouteReport report;  ///< Counts if `has_load`.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -80,12 +80,25 @@
 }
 
 bool RelayService::mayRepeat(const RelayRequest& request) {
-    if (!request.is_repeat || knobs_.weakening.repeats_without_budget) {
+    if (!request.is_repeat || request.is_repeat_paid || knobs_.weakening.repeats_without_budget) {
         return true;
     }
     return repeats_.tryRepeat(clock_.now(), relay_count_, slackShareOf(request.route));
 }
 
+/// A request that fails here goes to another instance at the cost of this relay's budget, if there is any: where one
+/// instance fails, the part of the budget that lies beside it would be of no use, and callers see failures while the
+/// others' parts are spent.
+bool RelayService::paysRepeat(const RelayRequest& request, const RelayResult& result) {
+    const bool is_not_run = result.outcome == RelayOutcome::kNotRun;
+    const bool has_failed = result.outcome != RelayOutcome::kAnswered ||
+                            (result.answer.status == kHttpInternalServerError && !result.failed_below);
+    const auto plan = request.failure_plan;
+    const bool is_repeated = plan == FailurePlan::kRepeat || (plan == FailurePlan::kRepeatIfNotRun && is_not_run);
+    return result.was_offered && has_failed && is_repeated &&
+           repeats_.tryRepeat(clock_.now(), relay_count_, slackShareOf(request.route));
+}
+
 /// Each call of a repeated run is a repeat at the service that it goes to, where it cannot be denied. The ratio
 /// covers them there as well; the slack above is divided so that it fits into the slack below.
 double RelayService::slackShareOf(const std::string& route) const {
@@ -405,6 +418,7 @@
         demand_.onAnswered(running.request.route, time);
     }
     leaveQueues(number, running, time);
+    result.is_repeat_paid = paysRepeat(running.request, result);
     result.load = queue_.load();
     result.has_load = true;
     result.report.load = serviceLoad();
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -118,6 +118,7 @@
     [[nodiscard]] bool takes(const std::string& instance) const;
     [[nodiscard]] RelayReason refusalOf(const Running& running);
     bool mayRepeat(const RelayRequest& request);
+    bool paysRepeat(const RelayRequest& request, const RelayResult& result);
     [[nodiscard]] double slackShareOf(const std::string& route) const;
     void countRequest(const RelayRequest& request);
     QueueRequest placeInQueue(RelayRequest* request);
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -11,12 +11,13 @@
 
 /// Of a request: sender, its table's version, instance, route, priority, is a repeat, is the last
 /// choice, microseconds left, microseconds that it may wait, repeat share and requests represented in
-/// thousandths, has been counted, is suspected.
+/// thousandths, has been counted, is suspected, what is done if it fails, has had its repeat paid.
 constexpr std::string_view kCall = "dewcrank-relay-call";
 /// Of an answer: sender, its table's version, outcome, reason, was offered, running, waiting, limit,
 /// mean time in microseconds, is inner, demand, capacity and busy of
 /// the instance in thousandths of a slot, time of the route in microseconds, bottleneck below, its level in thousandths
-/// and cost in microseconds, failed below, age of the sender's table in microseconds and one, or 0.
+/// and cost in microseconds, failed below, age of the sender's table in microseconds and one, or 0, has paid the
+/// repeat.
 constexpr std::string_view kResult = "dewcrank-relay-result";
 constexpr double kPermille = 1000;
 /// Whether a route is called by instances, as far as the relay has seen.
@@ -83,6 +84,11 @@
     return is_known ? static_cast<RelayOutcome>(number) : RelayOutcome::kUnknown;
 }
 
+FailurePlan failurePlanOf(std::int64_t number) {
+    const bool is_known = number >= 0 && number <= static_cast<std::int64_t>(FailurePlan::kRepeat);
+    return is_known ? static_cast<FailurePlan>(number) : FailurePlan::kGiveUp;
+}
+
 }  // namespace
 
 HttpRequest toHttp(RelayRequest request, const RelayPeer& sender, TimePoint now) {
@@ -93,6 +99,7 @@
     fields.add((request.deadline - now).count()).add(request.longest_wait.count());
     fields.add(inThousandths(request.lineage.repeat_share)).add(inThousandths(request.lineage.represents));
     fields.add(request.is_counted ? 1 : 0).add(request.is_suspect ? 1 : 0);
+    fields.add(static_cast<std::int64_t>(request.failure_plan)).add(request.is_repeat_paid ? 1 : 0);
     auto message = std::move(request.request);
     message.headers.set(kCall, fields.take());
     return message;
@@ -117,6 +124,8 @@
     relayed.lineage.represents = std::max(1.0, fromThousandths(fields.number()));
     relayed.is_counted = fields.number() != 0;
     relayed.is_suspect = fields.number() != 0;
+    relayed.failure_plan = failurePlanOf(fields.number());
+    relayed.is_repeat_paid = fields.number() != 0;
     request.headers.removePrefix(kRelayHeaderPrefix);
     relayed.request = std::move(request);
     return received;
@@ -131,6 +140,7 @@
     write(&fields, result.report);
     fields.add(result.failed_below ? 1 : 0);
     fields.add(sender.table_age ? sender.table_age->count() + 1 : 0);
+    fields.add(result.is_repeat_paid ? 1 : 0);
     auto answer = std::move(result.answer);
     if (result.outcome != RelayOutcome::kAnswered) {
         answer.status = kHttpOk;
@@ -161,6 +171,7 @@
     if (const auto age = fields.number(); age > 0) {
         received.sender.table_age = Duration(age - 1);
     }
+    result.is_repeat_paid = fields.number() != 0;
     answer.headers.removePrefix(kRelayHeaderPrefix);
     result.answer = std::move(answer);
     return received;
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -371,30 +371,52 @@
     BOOST_TEST((requests[3]->ended - requests[3]->sent <= 140ms));
 }
 
+struct FailureCase {
+    Duration age;  ///< Of the fleet when the instance begins to fail.
+    std::size_t most_failures;
+};
+
+/// An instance fails 0.4 of its runs.
+void checkFailuresAreTriedElsewhere(const FailureCase& entry, std::uint64_t seed) {
+    const auto label = std::to_string(entry.age / 1s) + " s old, seed " + std::to_string(seed);
+    sim::SidecarFleet fleet(seed, services());
+    fleet.putTable("browse", "desk", "leaf");
+    fleet.runFor(entry.age);
+    fleet.instance(0).options().errors = 0.4;
+    fleet.generateLoad(60, fleet.queue().now() + 16s, 0);
+    fleet.runFor(20s);
+    BOOST_TEST(fleet.requests().size() > 850U, label << ": " << fleet.requests().size());
+    const auto failures = fleet.answered(kHttpInternalServerError);
+    BOOST_TEST(failures <= entry.most_failures, label << ": " << failures << " failures");
+    BOOST_TEST(fleet.breaches().empty(), label << ": a promise is broken");
+}
+
 /// Callers of a route that may be repeated see hardly any failure of single instances. A relay has most of
 /// its slack only when it is older than a window of the repeat budget: in an earlier life it may have spent
 /// all of it. Failures at a young fleet are tried elsewhere by the ratio; without repeats there are a dozen.
+///
+/// On some seeds four to six failures reached callers of the older fleet, in the first 0.6 s, before entries leave the
+/// instance. The budget of the service allowed 15 repeats then, and its relays' lines said (seed 3): m1 granted=1
+/// denied=3, m2 granted=1 denied=1, m0, beside the failing instance, granted=0 denied=0. Its part lay idle: a repeat
+/// could be paid only by the relay that it went to.
 BOOST_AUTO_TEST_CASE(failures_of_instances_are_tried_elsewhere) {
-    const struct {
-        Duration age;
-        std::size_t most_failures;
-    } cases[] = {{12s, 3}, {4s, 6}};
-    for (const auto& entry : cases) {
+    for (const auto& entry : {FailureCase{12s, 3}, FailureCase{4s, 6}}) {
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            const auto label = std::to_string(entry.age / 1s) + " s old, seed " + std::to_string(seed);
-            sim::SidecarFleet fleet(seed, services());
-            fleet.putTable("browse", "desk", "leaf");
-            fleet.runFor(entry.age);
-            fleet.instance(0).options().errors = 0.4;
-            fleet.generateLoad(60, fleet.queue().now() + 16s, 0);
-            fleet.runFor(20s);
-            BOOST_TEST(fleet.requests().size() > 850U, label << ": " << fleet.requests().size());
-            BOOST_TEST(fleet.answered(kHttpInternalServerError) <= entry.most_failures, label);
-            BOOST_TEST(fleet.breaches().empty(), label);
+            checkFailuresAreTriedElsewhere(entry, seed);
         }
     }
 }
 
+/// Seeds of 1 to 200 on which this was ever seen broken.
+BOOST_AUTO_TEST_CASE(failures_are_tried_elsewhere_on_the_seeds_that_were_red) {
+    for (const std::uint64_t seed : {3, 35, 59, 118, 178, 182}) {
+        checkFailuresAreTriedElsewhere({12s, 3}, seed);
+    }
+    for (const std::uint64_t seed : {69, 100, 133}) {
+        checkFailuresAreTriedElsewhere({4s, 6}, seed);
+    }
+}
+
 /// What fails below was tried elsewhere below. Repeated above, it would repeat all calls of its tree.
 /// @return how many runs were repeated.
 std::ptrdiff_t repeatedRunsWhoseCallsFail(std::uint64_t seed) {
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -128,6 +128,28 @@
     return reason;
 }
 
+/// Answers each request after a millisecond with a failure of its own.
+class FailingInstance : public BackEndPort {
+public:
+    explicit FailingInstance(Clock& clock) : clock_(clock) {}
+    AttemptHandle send(const std::string&, HttpRequest, Duration, Callback callback) override {
+        auto attempt = std::make_unique<Running>();
+        attempt->timer = clock_.startTimer(1ms, [callback = std::move(callback)] {
+            AttemptResult result;
+            result.outcome = AttemptOutcome::kAnswered;
+            result.answer.status = 500;
+            callback(result);
+        });
+        return attempt;
+    }
+
+private:
+    struct Running : Attempt {
+        TimerHandle timer;
+    };
+    Clock& clock_;
+};
+
 /// One that is refused by a relay, for its queue, comes to a next one: counted there as well, each such
 /// request would allow the service's repeats twice.
 BOOST_AUTO_TEST_CASE(a_request_allows_repeats_at_one_relay_only) {
@@ -135,6 +157,49 @@
     BOOST_TEST((repeatAfter40(true) == relay::RelayReason::kRepeatBudget));
 }
 
+/// One repeat is allowed here. What fails beside it takes that one along, also to a relay that has none left.
+BOOST_AUTO_TEST_CASE(a_relay_pays_for_the_repeat_of_what_fails_at_its_instance) {
+    tests::VirtualTime time;
+    tests::RecordingLog log;
+    FailingInstance instances(time.clock);
+    instance::LocalInstance local(time.clock, 8s);
+    quarantine::Quarantine quarantine(time.clock, {});
+    const HeaderNames names;
+    relay::RelayKnobs knobs;
+    knobs.repeats = {0.25, 0, 10s};
+    relay::RelayService relay(
+        time.clock, log, instances, local, quarantine, names, "i:1", [](const std::string&) { return 1.0; }, knobs);
+    instance::Heartbeat heartbeat;
+    heartbeat.id = "i1";
+    heartbeat.slots = 100;
+    heartbeat.sequence = 1;
+    local.onHeartbeat(heartbeat);
+    std::vector<relay::RelayResult> results;
+    const auto send = [&](relay::FailurePlan plan, bool is_paid) {
+        relay::RelayRequest request;
+        request.instance = "i1";
+        request.failure_plan = plan;
+        request.is_repeat = is_paid;
+        request.is_repeat_paid = is_paid;
+        request.deadline = time.clock.now() + 1s;
+        relay.start(std::move(request), [&](relay::RelayResult result) { results.push_back(std::move(result)); });
+        time.advance(2ms);
+    };
+    for (int number = 0; number < 4; ++number) {
+        send(relay::FailurePlan::kGiveUp, false);
+    }
+    send(relay::FailurePlan::kRepeatIfNotRun, false);  // It has run.
+    send(relay::FailurePlan::kRepeat, false);
+    send(relay::FailurePlan::kRepeat, false);  // There is none left.
+    send(relay::FailurePlan::kGiveUp, true);   // Paid elsewhere.
+    BOOST_REQUIRE(results.size() == 8U);
+    for (std::size_t number = 0; number < results.size(); ++number) {
+        BOOST_TEST(results[number].is_repeat_paid == (number == 5), "request " << number);
+        BOOST_TEST((results[number].outcome == relay::RelayOutcome::kAnswered), "request " << number);
+    }
+    BOOST_TEST(relay.repeatTotals().granted == 1U);
+}
+
 /// Answers when it is told to, and keeps the order in which requests were sent.
 class PacedInstance : public BackEndPort {
 public:
@@ -265,6 +330,8 @@
     request.priority = 3;
     request.deadline = TimePoint(5s);
     request.longest_wait = 70ms;
+    request.is_repeat_paid = true;
+    request.failure_plan = relay::FailurePlan::kRepeat;
     const auto message = relay::toHttp(request, {"n1", 7}, TimePoint(4s));
     const auto received = relay::fromHttp(message, TimePoint(9s));
     BOOST_REQUIRE(received.has_value());
@@ -274,6 +341,8 @@
     BOOST_TEST(read->instance == "i1");
     BOOST_TEST(read->is_repeat);
     BOOST_TEST(read->is_last_choice);
+    BOOST_TEST(read->is_repeat_paid);
+    BOOST_TEST((read->failure_plan == relay::FailurePlan::kRepeat));
     BOOST_TEST(read->lineage.repeat_share == 0.25);
     BOOST_TEST(read->lineage.represents == 3.5);
     BOOST_TEST(read->priority == 3U);
@@ -287,6 +356,7 @@
          {relay::RelayOutcome::kAnswered, relay::RelayOutcome::kNotRun, relay::RelayOutcome::kUnknown}) {
         relay::RelayResult result;
         result.failed_below = true;
+        result.is_repeat_paid = true;
         result.outcome = outcome;
         result.reason = relay::RelayReason::kQueueTooLong;
         result.was_offered = true;
@@ -313,6 +383,7 @@
         BOOST_TEST((back.report.time == 22ms));
         BOOST_TEST(back.report.is_inner.value());
         BOOST_TEST(back.failed_below);
+        BOOST_TEST(back.is_repeat_paid);
         BOOST_TEST((back.answer.status == 418) == (outcome == relay::RelayOutcome::kAnswered));
     }
     HttpAnswer foreign;
