--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -240,8 +240,8 @@
 void EntryCall::onUnknown() {
     may_have_run_ = true;
     const bool may_repeat = plan_.route->is_repeatable() || services_.weakening.repeats_unrepeatable;
-    if (!may_repeat || offered_ >= plan_.route->max_attempts()) {
-        giveUp("no-whole-answer", false);
+    if (is_quarantined_ || !may_repeat || offered_ >= plan_.route->max_attempts()) {
+        giveUp(is_quarantined_ ? "quarantined" : "no-whole-answer", false);
         return;
     }
     sendToNext();
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -95,7 +95,7 @@
                             (result.answer.status == kHttpInternalServerError && !result.failed_below);
     const auto plan = request.failure_plan;
     const bool is_repeated = plan == FailurePlan::kRepeat || (plan == FailurePlan::kRepeatIfNotRun && is_not_run);
-    return result.was_offered && has_failed && is_repeated &&
+    return result.was_offered && has_failed && is_repeated && result.reason != RelayReason::kQuarantined &&
            repeats_.tryRepeat(clock_.now(), relay_count_, slackShareOf(request.route));
 }
 
@@ -355,7 +355,9 @@
     judged.outcome = judged.was_offered ? RelayOutcome::kUnknown : RelayOutcome::kNotRun;
     judged.reason = judged.was_offered ? RelayReason::kNoWholeAnswer : RelayReason::kNotConnected;
     if (judged.was_offered && running.life == ended_life_) {
-        judged.reason = RelayReason::kInstanceEnded;
+        // Its entry knows of the verdict before the other relays do: sent on, it would end one more.
+        const bool is_convicted = quarantine_.standing(running.fingerprint) == quarantine::Standing::kQuarantined;
+        judged.reason = is_convicted ? RelayReason::kQuarantined : RelayReason::kInstanceEnded;
     }
     if (!judged.was_offered) {
         instance_.onUnreachable();
--- a/tests/unit/relay/relay_crash_test.cc
+++ b/tests/unit/relay/relay_crash_test.cc
@@ -163,6 +163,16 @@
     BOOST_TEST(instances.paths.empty());
 }
 
+/// The entry would send it on before the news of the verdict is everywhere.
+BOOST_AUTO_TEST_CASE(what_is_convicted_by_its_own_run_is_told_so) {
+    quarantine.suspect(fingerprint("/a"));
+    start("/a");
+    breakAll();
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(notices[0].quarantined.size() == 1U);
+    BOOST_TEST((reasons == std::vector{RelayReason::kQuarantined}));
+}
+
 /// The entry has heard of the end before this relay.
 BOOST_AUTO_TEST_CASE(a_request_that_is_told_as_a_suspect_tells_the_end_of_an_instance) {
     relay.setReplicaView([] { return fleet::Replicas{3, 0, 0}; });
