--- /dev/null
+++ b/src/relay/relay_repeats.h
@@ -0,0 +1,50 @@
+/// @file
+/// A relay's part of its service's repeat budget: which requests count as first ones, and who pays for a repeat.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "src/decision/call_graph.h"
+#include "src/decision/repeat_budget.h"
+#include "src/ports/clock.h"
+#include "src/relay/relay_message.h"
+
+namespace dewcrank::relay {
+
+class RelayRepeats {
+public:
+    /// @param graph of the calls that the instance's runs make.
+    RelayRepeats(Clock& clock, const decision::CallGraph& graph, decision::RepeatBound bound);
+
+    /// @param count of relays that share the service's slack.
+    void setRelayCount(std::size_t count) { relay_count_ = count; }
+    /// Each request allows repeats at one relay: counted at every relay that its queue sends it on to, it would
+    /// allow up to three times its share.
+    void count(const RelayRequest& request);
+    /// True if a request may be let in: it is no repeat, or is paid for, now by this relay if not before.
+    bool mayRepeat(const RelayRequest& request);
+    /// A request that fails here goes to another instance at the cost of this relay's budget, if there is any: where
+    /// one instance fails, the part of the budget that lies beside it would be of no use, and callers see failures
+    /// while the others' parts are spent.
+    bool paysRepeat(const RelayRequest& request, const RelayResult& result);
+
+    [[nodiscard]] const decision::RepeatTotals& totals() const { return budget_.totals(); }
+    [[nodiscard]] decision::RepeatWindow window() { return budget_.window(clock_.now(), relay_count_); }
+    /// Requests that came here after another relay had counted them.
+    [[nodiscard]] std::uint64_t countedBefore() const { return counted_before_; }
+    [[nodiscard]] std::size_t relayCount() const { return relay_count_; }
+
+private:
+    bool tryRepeat(const std::string& route);
+    [[nodiscard]] double slackShareOf(const std::string& route) const;
+
+    Clock& clock_;
+    const decision::CallGraph& graph_;
+    decision::RepeatBudget budget_;
+    std::size_t relay_count_ = 1;
+    std::uint64_t counted_before_ = 0;
+};
+
+}  // namespace dewcrank::relay
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -8,14 +8,6 @@
 
 namespace dewcrank::relay {
 
-namespace {
-
-/// So many services that call the same one may all spend their slack at once without exceeding its own. How
-/// many there are is not known to a relay; in the deployments that were looked at, up to two.
-constexpr double kCallersOfService = 2;
-
-}  // namespace
-
 RelayService::RelayService(Clock& clock, EventLog& log, BackEndPort& instances, instance::LocalInstance& instance,
                            quarantine::Quarantine& quarantine, const HeaderNames& names, std::string instance_address,
                            CallerCensus::ShareOf share_of, RelayKnobs knobs)
@@ -31,10 +23,10 @@
       trials_(clock, knobs.trials, knobs.trial_gate),
       crash_watch_(clock, instances, instance_address_, knobs.crash_watch),
       runs_(clock, log, quarantine),
-      repeats_(knobs.repeats, clock.now()),
       census_(clock, std::move(share_of)),
       demand_(knobs.demand),
-      call_graph_(knobs.call_graph) {
+      call_graph_(knobs.call_graph),
+      repeats_(clock, call_graph_, knobs.repeats) {
     instance_.signalChanged().connect([this] { onInstanceChanged(); });
     crash_watch_.signalJudged().connect([this](bool has_ended) { onCrashJudged(has_ended); });
 }
@@ -76,34 +68,8 @@
     if (quarantine_.standing(running.fingerprint) == quarantine::Standing::kQuarantined) {
         return RelayReason::kQuarantined;
     }
-    return mayRepeat(request) ? RelayReason::kNone : RelayReason::kRepeatBudget;
-}
-
-bool RelayService::mayRepeat(const RelayRequest& request) {
-    if (!request.is_repeat || request.is_repeat_paid || knobs_.weakening.repeats_without_budget) {
-        return true;
-    }
-    return repeats_.tryRepeat(clock_.now(), relay_count_, slackShareOf(request.route));
-}
-
-/// A request that fails here goes to another instance at the cost of this relay's budget, if there is any: where one
-/// instance fails, the part of the budget that lies beside it would be of no use, and callers see failures while the
-/// others' parts are spent.
-bool RelayService::paysRepeat(const RelayRequest& request, const RelayResult& result) {
-    const bool is_not_run = result.outcome == RelayOutcome::kNotRun;
-    const bool has_failed = result.outcome != RelayOutcome::kAnswered ||
-                            (result.answer.status == kHttpInternalServerError && !result.failed_below);
-    const auto plan = request.failure_plan;
-    const bool is_repeated = plan == FailurePlan::kRepeat || (plan == FailurePlan::kRepeatIfNotRun && is_not_run);
-    return result.was_offered && has_failed && is_repeated && result.reason != RelayReason::kQuarantined &&
-           repeats_.tryRepeat(clock_.now(), relay_count_, slackShareOf(request.route));
-}
-
-/// Each call of a repeated run is a repeat at the service that it goes to, where it cannot be denied. The ratio
-/// covers them there as well; the slack above is divided so that it fits into the slack below.
-double RelayService::slackShareOf(const std::string& route) const {
-    const double calls = call_graph_.mostCalls(route);
-    return calls > 0 ? 1 / (kCallersOfService * std::max(1.0, calls)) : 1;
+    const bool may_repeat = knobs_.weakening.repeats_without_budget || repeats_.mayRepeat(request);
+    return may_repeat ? RelayReason::kNone : RelayReason::kRepeatBudget;
 }
 
 RelayService::Number RelayService::start(RelayRequest request, Callback callback) {
@@ -122,7 +88,7 @@
         refuseLater(number, refusal);
         return number;
     }
-    countRequest(running.request);
+    repeats_.count(running.request);
     const bool is_suspect = quarantine_.standing(running.fingerprint) == quarantine::Standing::kSuspect;
     is_suspect ? enterTrials(number) : enterQueue(number);
     return number;
@@ -167,16 +133,6 @@
                    .with("use", conditions.use));
 }
 
-/// Each request allows repeats at one relay: counted at every relay that its queue sends it on to, it would
-/// allow up to three times its share.
-void RelayService::countRequest(const RelayRequest& request) {
-    if (request.is_counted) {
-        counted_before_ += request.is_repeat ? 0 : 1;
-    } else if (!request.is_repeat) {
-        repeats_.onFirst(clock_.now(), request.lineage.repeat_share);
-    }
-}
-
 /// Requests are let in by the time until which they can wait, and by priority. Calls of trees that
 /// have used up a part of their time go before all others. Every inner call may wait for longer than a
 /// caller's request: refused, it would waste what was done for its tree.
@@ -421,7 +377,7 @@
         demand_.onAnswered(running.request.route, time);
     }
     leaveQueues(number, running, time);
-    result.is_repeat_paid = paysRepeat(running.request, result);
+    result.is_repeat_paid = repeats_.paysRepeat(running.request, result);
     result.load = queue_.load();
     result.has_load = true;
     result.report.load = serviceLoad();
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -18,7 +18,6 @@
 #include "src/decision/bottleneck_view.h"
 #include "src/decision/call_graph.h"
 #include "src/decision/instance_demand.h"
-#include "src/decision/repeat_budget.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/instance/local_instance.h"
 #include "src/ports/back_end_port.h"
@@ -30,6 +29,7 @@
 #include "src/relay/crash_watch.h"
 #include "src/relay/instance_queue.h"
 #include "src/relay/relay_message.h"
+#include "src/relay/relay_repeats.h"
 #include "src/relay/suspect_trials.h"
 
 namespace dewcrank::relay {
@@ -89,14 +89,14 @@
     /// An instance of the service beside another node has ended by itself.
     void onInstanceEndedElsewhere() { trials_.gate().onInstanceEnded(); }
     /// @param count of relays that share the service's repeat budget.
-    void setRelayCount(std::size_t count) { relay_count_ = count; }
+    void setRelayCount(std::size_t count) { repeats_.setRelayCount(count); }
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
     [[nodiscard]] const decision::RepeatTotals& repeatTotals() const { return repeats_.totals(); }
-    [[nodiscard]] decision::RepeatWindow repeatWindow() { return repeats_.window(clock_.now(), relay_count_); }
+    [[nodiscard]] decision::RepeatWindow repeatWindow() { return repeats_.window(); }
     /// Requests that came here after another relay had counted them.
-    [[nodiscard]] std::uint64_t countedBefore() const { return counted_before_; }
-    [[nodiscard]] std::size_t relayCount() const { return relay_count_; }
+    [[nodiscard]] std::uint64_t countedBefore() const { return repeats_.countedBefore(); }
+    [[nodiscard]] std::size_t relayCount() const { return repeats_.relayCount(); }
     /// What the instance is asked for and can give.
     [[nodiscard]] decision::ServiceLoad serviceLoad();
     /// The calls that the instance makes, by the routes that it serves.
@@ -120,10 +120,6 @@
     [[nodiscard]] std::uint32_t limitFor(std::uint32_t slots) const;
     [[nodiscard]] bool takes(const std::string& instance) const;
     [[nodiscard]] RelayReason refusalOf(const Running& running);
-    bool mayRepeat(const RelayRequest& request);
-    bool paysRepeat(const RelayRequest& request, const RelayResult& result);
-    [[nodiscard]] double slackShareOf(const std::string& route) const;
-    void countRequest(const RelayRequest& request);
     QueueRequest placeInQueue(RelayRequest* request);
     void enterTrials(Number number);
     void onTrialDecision(Number number, bool may_run);
@@ -168,13 +164,11 @@
     std::string ended_life_;       ///< The last one that was found to have ended by itself.
     bool is_leaving_ = false;      ///< The one seen has said so.
     sigc::signal<void(const quarantine::CrashNotice&)> signal_crashed_;
-    decision::RepeatBudget repeats_;
     CallerCensus census_;
     decision::InstanceDemand demand_;
     decision::CallGraph call_graph_;
+    RelayRepeats repeats_;
     decision::UsualDeadlines deadlines_;
-    std::size_t relay_count_ = 1;
-    std::uint64_t counted_before_ = 0;
     std::optional<TimePoint> stops_at_;
     bool is_closed_ = false;
     Number last_number_ = 0;
