Let callers wait a moment also where all relays that were asked are stopping

Cause: a stopping relay that has closed counts as one that was asked, so that callers were refused at once where they wait an eighth of their objective for a relay that comes back. Change: they wait then as well, and the relays asked before count as not asked.

--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -41,7 +41,8 @@
         return;
     }
     const auto target = services_.selector.choose(plan_.service, tried_);
-    if (target.node.empty() && tried_.empty() && !has_awaited_) {
+    const bool has_asked_in_vain = tried_.empty() || has_met_stopping_only_;
+    if (target.node.empty() && has_asked_in_vain && !has_awaited_) {
         awaitInstance();
         return;
     }
@@ -54,6 +55,7 @@
 
 void EntryCall::awaitInstance() {
     has_awaited_ = true;
+    tried_.clear();  // Those that were stopping may be the ones that come back.
     const auto objective = std::chrono::milliseconds(plan_.route->objective_ms());
     const auto wait = std::chrono::duration_cast<Duration>(objective * services_.knobs.absent_wait_share);
     absent_timer_ = services_.clock.startTimer(wait, [this] { sendToNext(); });
@@ -226,6 +228,8 @@
 void EntryCall::onNotRun(const relay::RelayResult& result) {
     is_overload_ = result.reason == relay::RelayReason::kQueueTooLong ||
                    result.reason == relay::RelayReason::kQueueTimeout || result.reason == relay::RelayReason::kSuspect;
+    const bool is_first = refusals_ == 0 && offered_ == 0;
+    has_met_stopping_only_ = (is_first || has_met_stopping_only_) && result.reason == relay::RelayReason::kStopping;
     const bool is_final =
         is_quarantined_ || result.reason == relay::RelayReason::kRepeatBudget ||
         result.reason == relay::RelayReason::kDeadline ||
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -159,10 +159,11 @@
     relay::RelayService::Number own_ = 0;  ///< At this node's own relay.
     std::set<std::string> tried_;
     std::size_t refusals_ = 0;
-    std::uint32_t offered_ = 0;    ///< Instances that were sent the request.
-    bool is_repeat_paid_ = false;  ///< By the relay at which it failed last.
-    bool is_counted_ = false;      ///< A relay has counted it among its service's requests.
-    bool has_awaited_ = false;     ///< That an instance comes back.
+    std::uint32_t offered_ = 0;           ///< Instances that were sent the request.
+    bool is_repeat_paid_ = false;         ///< By the relay at which it failed last.
+    bool is_counted_ = false;             ///< A relay has counted it among its service's requests.
+    bool has_met_stopping_only_ = false;  ///< Each relay that was asked was stopping.
+    bool has_awaited_ = false;            ///< That an instance comes back.
     bool may_have_run_ = false;
     std::optional<HttpAnswer> failure_;  ///< An instance's own, given if no other instance does better.
     bool is_overload_ = false;           ///< Refused for want of room, or of instances that could be spared.
--- a/src/quarantine/trial_gate.h
+++ b/src/quarantine/trial_gate.h
@@ -7,10 +7,10 @@
 /// is refused until the first of them is back.
 ///
 ///   four up or more     at all relays but two of them, at once
-///   two or three up     at one relay, once the last end has settled; where one less could not do what is asked for,
-///   not
-///                       before what has ended is back, or has been away for so long that it counts as lost
-///   one up of several   the same: not before another one is back, or counts as lost
+///   two or three up     at one relay, once the last end has settled
+///   the same, full      once what has ended is back, or has been away for so long that it counts as lost: one less
+///                       could not do what is asked for
+///   one up of several   the same
 ///   the only one        at once: nobody else could run it, and until it has ended another life nobody is to blame
 #pragma once
 
