--- a/tests/soak/checks.cc
+++ b/tests/soak/checks.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/checks.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 #include "src/base/http_status.h"
@@ -102,6 +103,10 @@
     }
 }
 
+std::string rounded(double number) {
+    return std::to_string(std::llround(number));
+}
+
 /// In any window, what arrives past the first of each request stays within ratio and slack.
 void checkRepeats(const Evidence& it, std::vector<Breach>* out) {
     const auto& bound = it.bounds.repeats;
@@ -115,8 +120,11 @@
                 (arrivals[begin].is_first ? first : repeats) -= 1;
                 ++begin;
             }
-            if (repeats > bound.ratio * first + bound.slack) {
-                out->push_back({"repeats stay within their bound", service + " at " + arrival.request});
+            const double allowed = bound.ratio * first + bound.slack;
+            if (repeats > allowed) {
+                const auto detail = service + " at " + arrival.request + ": " + rounded(repeats) + " repeats for " +
+                                    rounded(first) + " requests, " + rounded(allowed) + " allowed";
+                out->push_back({"repeats stay within their bound", detail});
                 break;
             }
         }
