Divide the slack of repeats by the relays that there were, not by those that take calls at the moment

What callers saw: nothing yet; a service got more repeats than its operators allow while its nodes restarted in turn. Cause: each relay took slack / relays that take calls now. While two of three were stopping all three took the whole, and the stopping ones spend since a relay pays for what fails at its instance and takes what no other can. Ruled out: calls of repeated runs (inherited=0), requests counted twice (counted_before=0), a relay beyond its own part. Change: RecentMaximum; the slack is divided by the most relays of the last window. Conclusion: what a relay that goes may have spent has left the window before the others get its part, so the parts never sum to more than the slack.

--- a/src/relay/relay_repeats.cc
+++ b/src/relay/relay_repeats.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 RelayRepeats::RelayRepeats(Clock& clock, const decision::CallGraph& graph, decision::RepeatBound bound)
-    : clock_(clock), graph_(graph), budget_(bound, clock.now()) {}
+    : clock_(clock), graph_(graph), budget_(bound, clock.now()), relay_count_(bound.window, 1) {}
 
 void RelayRepeats::count(const RelayRequest& request) {
     if (request.is_counted) {
@@ -42,7 +42,7 @@
 }
 
 bool RelayRepeats::tryRepeat(const std::string& route) {
-    return budget_.tryRepeat(clock_.now(), relay_count_, slackShareOf(route));
+    return budget_.tryRepeat(clock_.now(), sharers(), slackShareOf(route));
 }
 
 /// Each call of a repeated run is a repeat at the service that it goes to, where it cannot be denied. The ratio
--- a/src/relay/relay_repeats.h
+++ b/src/relay/relay_repeats.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "src/base/recent_maximum.h"
 #include "src/decision/call_graph.h"
 #include "src/decision/repeat_budget.h"
 #include "src/ports/clock.h"
@@ -18,8 +19,9 @@
     /// @param graph of the calls that the instance's runs make.
     RelayRepeats(Clock& clock, const decision::CallGraph& graph, decision::RepeatBound bound);
 
-    /// @param count of relays that share the service's slack.
-    void setRelayCount(std::size_t count) { relay_count_ = count; }
+    /// @param count of relays that take requests of the service. The slack is shared by as many as there were at most
+    /// in the last window: those that have gone may have spent their parts of it, and those that are stopping still do.
+    void setRelayCount(std::size_t count) { relay_count_.set(clock_.now(), count); }
     /// Each request allows repeats at one relay: counted at every relay that its queue sends it on to, it would
     /// allow up to three times its share.
     void count(const RelayRequest& request);
@@ -31,10 +33,11 @@
     bool paysRepeat(const RelayRequest& request, const RelayResult& result);
 
     [[nodiscard]] const decision::RepeatTotals& totals() const { return budget_.totals(); }
-    [[nodiscard]] decision::RepeatWindow window() { return budget_.window(clock_.now(), relay_count_); }
+    [[nodiscard]] decision::RepeatWindow window() { return budget_.window(clock_.now(), sharers()); }
     /// Requests that came here after another relay had counted them.
     [[nodiscard]] std::uint64_t countedBefore() const { return counted_before_; }
-    [[nodiscard]] std::size_t relayCount() const { return relay_count_; }
+    /// Relays that share the slack.
+    [[nodiscard]] std::size_t sharers() { return relay_count_.at(clock_.now()); }
 
 private:
     bool tryRepeat(const std::string& route);
@@ -43,7 +46,7 @@
     Clock& clock_;
     const decision::CallGraph& graph_;
     decision::RepeatBudget budget_;
-    std::size_t relay_count_ = 1;
+    RecentMaximum relay_count_;
     std::uint64_t counted_before_ = 0;
 };
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -88,7 +88,7 @@
     void setReplicaView(const std::function<fleet::Replicas()>& view);
     /// An instance of the service beside another node has ended by itself.
     void onInstanceEndedElsewhere() { trials_.gate().onInstanceEnded(); }
-    /// @param count of relays that share the service's repeat budget.
+    /// @param count of relays that take requests of the service now.
     void setRelayCount(std::size_t count) { repeats_.setRelayCount(count); }
     [[nodiscard]] std::size_t inFlight() const { return running_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
@@ -96,7 +96,7 @@
     [[nodiscard]] decision::RepeatWindow repeatWindow() { return repeats_.window(); }
     /// Requests that came here after another relay had counted them.
     [[nodiscard]] std::uint64_t countedBefore() const { return repeats_.countedBefore(); }
-    [[nodiscard]] std::size_t relayCount() const { return repeats_.relayCount(); }
+    [[nodiscard]] std::size_t repeatSharers() { return repeats_.sharers(); }
     /// What the instance is asked for and can give.
     [[nodiscard]] decision::ServiceLoad serviceLoad();
     /// The calls that the instance makes, by the routes that it serves.
--- a/src/sidecar/load_log.cc
+++ b/src/sidecar/load_log.cc
@@ -57,7 +57,7 @@
                    .with("window_requests", window.requests)
                    .with("window_repeats", window.repeats)
                    .with("window_allowed", window.allowed)
-                   .with("relays", relay_.relayCount())
+                   .with("relays", relay_.repeatSharers())
                    .with("ratio", bound_.ratio)
                    .with("slack", bound_.slack)
                    .with("window_s", toSeconds(bound_.window)));
