--- a/tests/unit/soak/checks_test.cc
+++ b/tests/unit/soak/checks_test.cc
@@ -139,6 +139,31 @@
          it.run("browse");
      }},
     {"a route that is there", "no route is denied", [](Evidence& it) { it.request("/work/", 404); }},
+    {"a route that has come with the newest table", "",
+     [](Evidence& it) {
+         it.seen.onTable(2, {{"/work/", "browse"}, {"/extra/", "desk"}});
+         it.time.advance(3s);
+         it.request("/extra/", 404);
+     }},
+    {"a route that came long ago", "no route is denied",
+     [](Evidence& it) {
+         it.seen.onTable(2, {{"/work/", "browse"}, {"/extra/", "desk"}});
+         it.time.advance(5s);
+         it.request("/extra/", 404);
+     }},
+    {"a route that all tables of a quick series have", "no route is denied",
+     [](Evidence& it) {
+         it.seen.onTable(2, {{"/work/", "desk"}});
+         it.time.advance(200ms);
+         it.seen.onTable(3, {{"/work/", "browse"}});
+         it.request("/work/", 404);
+     }},
+    {"a route that a table takes away while it is asked for", "",
+     [](Evidence& it) {
+         it.request("/work/", 404);
+         it.time.advance(20ms);
+         it.seen.onTable(2, {{"/sign/", "desk"}});
+     }},
     {"work for a caller that has gone", "work ends with its caller",
      [](Evidence& it) {
          auto& request = it.request("/work/", 0);
