Log headers of instances that nothing reads, and count what is sent to an instance

Change: event header_unread (once a name, at most 32 names), metrics dewcrank_instance_headers_unread, dewcrank_instance_first_attempts_sent, _retries_sent, _probes_sent. No decision depends on them.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -56,6 +56,15 @@
     setGauge("dewcrank_instance_running", "Calls that the instance has.", instance_load.running);
     setGauge("dewcrank_instance_waiting", "Calls that wait for the instance.", instance_load.waiting);
     setGauge("dewcrank_instance_limit", "Calls that the instance may have at once.", instance_load.limit);
+    const auto sent = node.relay().sendTotals();
+    setGauge("dewcrank_instance_first_attempts_sent", "First attempts sent to the instance, since the start.",
+             static_cast<double>(sent.first_attempts));
+    setGauge("dewcrank_instance_retries_sent", "Retries sent to the instance, since the start.",
+             static_cast<double>(sent.retries));
+    setGauge("dewcrank_instance_probes_sent", "Probes of the instance's health path, since the start.",
+             static_cast<double>(sent.probes));
+    setGauge("dewcrank_instance_headers_unread", "Different headers of the instance's responses that nothing reads.",
+             static_cast<double>(node.relay().unreadHeaders()));
     setGauge("dewcrank_suspects", "Requests that ran when an instance of the service ended.",
              static_cast<double>(node.quarantine().suspectCount()));
     setGauge("dewcrank_quarantined", "Requests that are kept from the instances of the service.",
--- a/src/relay/crash_detector.cc
+++ b/src/relay/crash_detector.cc
@@ -36,6 +36,7 @@
     request.method = "GET";
     request.path = probe_path_;
     request.headers.set("Host", address_);
+    ++probes_sent_;
     probe_ = instances_.send(address_, std::move(request), knobs_.probe_timeout,
                              [this, probes_left](const AttemptResult& result) {
                                  if (isConnectionLost(result) && probes_left > 1) {
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -8,6 +8,7 @@
 #include <sigc++/sigc++.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "src/ports/clock.h"
@@ -35,6 +36,8 @@
     void onConnectionRefused();
     /// @return whether a burst was seen and its decision is pending.
     [[nodiscard]] bool isPending() const { return lost_ > 0; }
+    /// @return the number of probes sent since the start.
+    [[nodiscard]] std::uint64_t probesSent() const { return probes_sent_; }
 
     /// Emitted once after each burst, with true if the instance has crashed.
     sigc::signal<void(bool)>& signalDecided() { return signal_decided_; }
@@ -49,6 +52,7 @@
     std::string address_;
     CrashDetectorKnobs knobs_;
     std::string probe_path_ = "/health";
+    std::uint64_t probes_sent_ = 0;
     std::size_t lost_ = 0;              ///< Connections lost in the current burst; 0 outside of bursts.
     std::size_t running_at_start_ = 0;  ///< Runs when the burst began.
     TimerHandle timer_;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -23,6 +23,7 @@
       trials_(clock, knobs.trials, knobs.trial_gate),
       crash_detector_(clock, instances, instance_address_, knobs.crash_detector),
       runs_(clock, log, quarantine),
+      unread_headers_(log, names),
       route_detector_(clock, std::move(host_share)),
       demand_(knobs.demand),
       call_graph_(knobs.call_graph),
@@ -177,6 +178,12 @@
     return demand_.load(clock_.now(), load.limit, load.mean_service_time * load.waiting);
 }
 
+SendTotals RelayService::sendTotals() const {
+    auto totals = send_totals_;
+    totals.probes = crash_detector_.probesSent();
+    return totals;
+}
+
 void RelayService::rejectLater(CallId id, RelayReason reason) {
     calls_[id]->rejection_timer = clock_.startTimer(Duration::zero(), [this, id, reason] {
         RelayResult result;
@@ -214,6 +221,7 @@
     auto deadline = call.request.deadline;
     call.run = call_graph_.onRunBegan(call.sent_at, call.request.route, call_context, &deadline);
     const auto time_left = deadline - call.sent_at;
+    ++(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
     runs_.onSent(id, {call.request_id, call.request.route, call.incarnation, call.fingerprint, call.is_trial});
     request.headers.set(names_.expected_instance, call.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(time_left)));
@@ -308,6 +316,7 @@
 RelayResult RelayService::resultOf(const Call& call, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kResponded) {
         instance_.onResponse();
+        unread_headers_.check(result.response, call.incarnation);
         return resultOfResponse(call, std::move(result.response));
     }
     RelayResult relayed;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -32,6 +32,7 @@
 #include "src/relay/relay_message.h"
 #include "src/relay/relay_retries.h"
 #include "src/relay/suspect_trials.h"
+#include "src/relay/unread_headers.h"
 
 namespace dewcrank::relay {
 
@@ -53,6 +54,13 @@
     DisabledMechanisms disabled;                ///< Tests only.
 };
 
+/// Everything sent to the instance since the start.
+struct SendTotals {
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t probes = 0;
+};
+
 /// Forwards requests from this node and from other nodes to the co-located instance. Rejects what the instance cannot
 /// run in time, grants retries, and detects crashes of the instance.
 class RelayService {
@@ -90,6 +98,9 @@
     /// @return the number of calls that are queued or running.
     [[nodiscard]] std::size_t inFlight() const { return calls_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
+    [[nodiscard]] SendTotals sendTotals() const;
+    /// @return the number of different headers in responses of the instance that nothing reads.
+    [[nodiscard]] std::size_t unreadHeaders() const { return unread_headers_.count(); }
     [[nodiscard]] const decision::RetryTotals& retryTotals() const { return retries_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return retries_.window(); }
     /// Total of first attempts that another relay had already counted for its retry budget.
@@ -159,6 +170,8 @@
     SuspectTrials trials_;
     CrashDetector crash_detector_;
     quarantine::RunTracker runs_;
+    UnreadHeaders unread_headers_;
+    SendTotals send_totals_;                  ///< Without the probes, which the crash detector counts.
     std::vector<LostAttempt> lost_attempts_;  ///< Until the crash detector has decided.
     std::string incarnation_;                 ///< Name of the current incarnation.
     std::uint64_t start_ms_ = 0;              ///< Start time of the current incarnation; 0 if unknown.
