--- a/sim/fleet_checks.cc
+++ b/sim/fleet_checks.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Runs may begin on an instance for this long after its node has received that the instance drains or leaves.
-constexpr Duration kDrainBound = 2s;
-
 /// @return the number of `times`, which are sorted, in the window of the retry limit that starts at `begin`.
 double countInWindow(const std::vector<TimePoint>& times, TimePoint begin) {
     const auto from = std::lower_bound(times.begin(), times.end(), begin);
@@ -47,6 +44,7 @@
     checkRetries(&found);
     checkAccess(&found);
     checkQuotas(&found);
+    checkSignals(&found);
     return found;
 }
 
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -236,6 +236,7 @@
 
 void SidecarFleet::endNode(std::size_t index) {
     auto& machine = *machines_[index];
+    entry_restarts_.push_back({machine.caller_address, queue_.now()});
     machine.host->kill();
     network_.onHostKilled(*machine.host);
     machine.stopped_nodes.push_back(std::move(machine.node));
@@ -269,6 +270,7 @@
     machine.instance->host().suspend();
     after(duration, [this, index, duration] {
         auto& it = *machines_[index];
+        entry_restarts_.push_back({it.caller_address, queue_.now()});
         it.instance->host().wake();
         it.host->wake();
         if (it.node != nullptr && it.host->countsSuspension()) {
@@ -333,6 +335,7 @@
     request->path = path;
     request->is_idempotent = is_idempotent;
     request->entry = machine.name;
+    request->entry_address = machine.caller_address;
     request->sent = queue_.now();
     request->table_version = table_version_;
     request->key = key;
@@ -350,7 +353,9 @@
     }
     const auto slot = attempts_.size();
     attempts_.push_back(network_.call(*caller_hosts_[index % kZones], machine.caller_address, std::move(message),
-                                      kCallerDeadline, [this, request](const AttemptResult& result) {
+                                      kCallerDeadline,
+                                      [this, request, entry = machine.caller_address](const AttemptResult& result) {
+                                          recordPassedSignals(result.response, entry, queue_.now(), &records_);
                                           request->ended = queue_.now();
                                           request->not_sent = result.outcome == AttemptOutcome::kNotSent;
                                           request->status = result.response.status;
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -32,6 +32,18 @@
 inline constexpr Duration kQuotaWindow = 5s;
 inline constexpr double kQuotaOverage = 0.1;
 inline constexpr double kQuotaSlack = 20;
+/// Sliding window in which arrivals at an instance are counted against the rate limit that it names, the factor and the
+/// number by which they may exceed it there.
+inline constexpr Duration kRateLimitWindow = 4s;
+inline constexpr double kRateLimitFactor = 1.5;
+inline constexpr double kRateLimitSlack = 5;
+/// A rate limit binds this long after an instance first named it.
+inline constexpr Duration kRateLimitGrace = 3s;
+/// Requests count that began at a node which had passed on the limit at least this long before.
+inline constexpr Duration kRateLimitNotice = 500ms;
+/// Runs may begin on an instance for this long after its node has received that the instance drains or leaves, and
+/// requests of an entry may arrive there that were sent until this long after the entry passed on that it leaves.
+inline constexpr Duration kDrainBound = 2s;
 /// Environment variable with the path of a file to which the log lines of all nodes are appended.
 inline constexpr const char* kTraceVariable = "DEWCRANK_SIM_TRACE";
 /// Work for a request ends within this time after its caller has cancelled it.
@@ -48,7 +60,8 @@
     std::string id;
     std::string path;
     bool is_idempotent = true;
-    std::string entry;  ///< Machine that the caller sent it to.
+    std::string entry;          ///< Machine that the caller sent it to.
+    std::string entry_address;  ///< Where that machine's node takes callers' requests.
     TimePoint sent{};
     TimePoint ended{};  ///< When the call ended for the caller; the epoch before that.
     int status = 0;     ///< 0: no response.
@@ -132,6 +145,7 @@
 
     [[nodiscard]] const std::vector<std::unique_ptr<CallerRequest>>& requests() const { return requests_; }
     [[nodiscard]] const std::vector<RunRecord>& runs() const { return records_.runs; }
+    [[nodiscard]] const InstanceRecords& records() const { return records_; }
     /// @return the number of requests whose response had this status.
     [[nodiscard]] std::size_t countResponses(int status) const;
     /// Checks all invariants over the records so far.
@@ -145,6 +159,11 @@
         TimePoint began{};
         TimePoint ended{};
     };
+    /// When a node ended or its machine resumed from a suspension: what the node has passed on does not bind it after.
+    struct EntryRestart {
+        std::string entry;  ///< Address at which the node takes callers' requests.
+        TimePoint at{};
+    };
     /// @return true if the instance was suspended during the run, so that it could not stop it in time.
     [[nodiscard]] bool wasSuspended(const RunRecord& run) const;
     class MachineLog;
@@ -159,6 +178,10 @@
     void checkRetries(std::vector<Violation>* out) const;
     void checkAccess(std::vector<Violation>* out) const;
     void checkQuotas(std::vector<Violation>* out) const;
+    void checkSignals(std::vector<Violation>* out) const;
+    /// @return the caller address of the node at which a request began, and when; empty if it is not known.
+    [[nodiscard]] RequestOrigin originOf(const ArrivalRecord& arrival,
+                                         const std::map<std::string, const CallerRequest*>& by_id) const;
     [[nodiscard]] std::map<std::string, const CallerRequest*> requestsById() const;
     [[nodiscard]] std::size_t logLinesWithKey() const;
 
@@ -186,6 +209,7 @@
     std::vector<std::unique_ptr<Host>> owned_hosts_;
     std::map<std::string, TimePoint> drained_at_;  ///< By incarnation: when its node received that it drains or leaves.
     std::vector<Suspension> suspensions_;
+    std::vector<EntryRestart> entry_restarts_;
     std::set<std::string> allowed_routes_;  ///< "path service" of every route in any table.
     std::uint64_t table_version_ = 0;
     std::size_t seeds_;
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -17,6 +17,19 @@
 const std::string kProbePath = "/health";
 }  // namespace
 
+void recordPassedSignals(const HttpResponse& response, const std::string& entry, TimePoint now,
+                         InstanceRecords* records) {
+    const HeaderNames names;
+    InstanceSignals signals;
+    signals.is_leaving = response.headers.get(names.leaving) == "1";
+    if (response.headers.has(names.rate_limit)) {
+        signals.rate_limit = std::stod(std::string(response.headers.get(names.rate_limit)));
+    }
+    if (signals != InstanceSignals{}) {
+        records->passed_signals.push_back({entry, std::string(response.headers.get(names.server_stamp)), now, signals});
+    }
+}
+
 SidecarInstance::SidecarInstance(EventQueue& queue, Network& network, RandomSource& random, const std::string& zone,
                                  std::string address, std::string node_address, NodeLink node, InstanceRecords& records)
     : queue_(queue),
@@ -109,16 +122,21 @@
         return run_id;
     }
     const std::string id(request.headers.get(names_.request_id));
-    records_.arrivals.push_back({id, options_.service, queue_.now()});
+    const auto internal_call = records_.internal_calls.find(id);
+    records_.arrivals.push_back(
+        {id, options_.service, queue_.now(), incarnation_name_,
+         internal_call == records_.internal_calls.end() ? RequestOrigin{} : internal_call->second});
     if (request.headers.get(names_.expected_instance) != id_) {
         response.status = kHttpMisdirected;
         response.headers.set(names_.instance_id, id_);
+        addSignals(&response);
         reply(std::move(response));
         return run_id;
     }
     if (running_.size() >= options_.slots || (options_.shed_share > 0 && random_.unit() < options_.shed_share)) {
         response.status = kHttpServiceUnavailable;
         response.headers.set(names_.not_executed, "1");
+        addSignals(&response);
         reply(std::move(response));
         return run_id;
     }
@@ -172,29 +190,46 @@
     internal.headers.set("Host", options_.internal_host);
     internal.headers.set(names_.request_id, std::string(running.request.headers.get(names_.request_id)) + "+" +
                                                 std::to_string(calls_left));
+    records_.internal_calls[std::string(internal.headers.get(names_.request_id))] = {node_address_, queue_.now()};
     internal.headers.set(names_.deadline_ms, std::to_string(std::max<std::int64_t>(1, toMilliseconds(timeout))));
-    running.internal_call = network_.call(host_, node_address_, std::move(internal), std::max<Duration>(timeout, 1ms),
-                                          [this, run_id, calls_left](const AttemptResult& result) {
-                                              const bool is_ok = result.outcome == AttemptOutcome::kResponded &&
-                                                                 result.response.status == kHttpOk;
-                                              if (!is_ok && options_.fails_with_internal_call) {
-                                                  failRun(run_id);
-                                              } else {
-                                                  callInternalRoute(run_id, calls_left - 1);
-                                              }
-                                          });
+    running.internal_call = network_.call(
+        host_, node_address_, std::move(internal), std::max<Duration>(timeout, 1ms),
+        [this, run_id, calls_left](const AttemptResult& result) {
+            recordPassedSignals(result.response, node_address_, queue_.now(), &records_);
+            const bool is_ok = result.outcome == AttemptOutcome::kResponded && result.response.status == kHttpOk;
+            if (!is_ok && options_.fails_with_internal_call) {
+                failRun(run_id);
+            } else {
+                callInternalRoute(run_id, calls_left - 1);
+            }
+        });
 }
 
-HttpResponse SidecarInstance::makeResponse(const HttpRequest& request, int status) const {
+HttpResponse SidecarInstance::makeResponse(const HttpRequest& request, int status) {
     const auto id = std::string(request.headers.get(names_.request_id));
     HttpResponse response;
     response.status = status;
     response.headers.set(names_.request_id, id);
-    response.headers.set(names_.server_stamp, id_);
+    response.headers.set(names_.server_stamp, incarnation_name_);
     response.body = id + " by " + options_.service;
+    addSignals(&response);
     return response;
 }
 
+void SidecarInstance::addSignals(HttpResponse* response) {
+    const InstanceSignals signals{options_.rate_limit, options_.says_leaving};
+    auto& changes = records_.signals[incarnation_name_];
+    if (changes.empty() ? signals != InstanceSignals{} : signals != changes.back().signals) {
+        changes.push_back({queue_.now(), signals});
+    }
+    if (signals.rate_limit) {
+        response->headers.set(names_.rate_limit, std::to_string(*signals.rate_limit));
+    }
+    if (signals.is_leaving) {
+        response->headers.set(names_.leaving, "1");
+    }
+}
+
 void SidecarInstance::failRun(std::uint64_t run_id) {
     auto ended = running_.extract(run_id);
     auto& running = ended.mapped();
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
     std::set<std::string> crash_paths;      ///< Requests for these paths crash the instance, which restarts then.
     Duration crash_delay = 70ms;            ///< From the start of the work on such a request to the crash.
     Duration restart_delay = 1500ms;        ///< From such a crash to the restart.
+    std::optional<double> rate_limit;       ///< Requests per second that responses name as its limit; none: no limit.
+    bool says_leaving = false;              ///< Responses say that the instance is leaving.
     bool fails_with_internal_call = false;  ///< A run fails with status 500 as soon as one of its calls fails.
 };
 
@@ -51,20 +54,57 @@
     bool has_key = false;  ///< The request contained a caller's key.
 };
 
+/// Where and when a request began.
+struct RequestOrigin {
+    std::string entry;  ///< Address at which its node takes callers' requests; empty: unknown.
+    TimePoint sent{};
+};
+
 /// A request that reached an instance, whether or not it was run.
 struct ArrivalRecord {
     std::string request_id;
     std::string service;
     TimePoint at{};
+    std::string incarnation;
+    RequestOrigin origin;  ///< Of an internal call; empty for a caller's request.
+};
+
+/// What an instance says about itself in a response.
+struct InstanceSignals {
+    std::optional<double> rate_limit;  ///< Requests per second.
+    bool is_leaving = false;
+    friend bool operator==(const InstanceSignals&, const InstanceSignals&) = default;
+};
+
+/// From `at` on, the responses of an incarnation have these signals.
+struct SignalChange {
+    TimePoint at{};
+    InstanceSignals signals;
+};
+
+/// A response of an instance, with its signals, that an entry passed on.
+struct PassedSignals {
+    std::string entry;  ///< Address at which its node takes callers' requests.
+    std::string incarnation;
+    TimePoint at{};
+    InstanceSignals signals;
 };
 
 /// Records of all instances of a fleet, in order of time.
 struct InstanceRecords {
     std::vector<RunRecord> runs;
     std::vector<ArrivalRecord> arrivals;
+    std::map<std::string, std::vector<SignalChange>> signals;  ///< By incarnation.
+    std::vector<PassedSignals> passed_signals;                 ///< Only those that name something.
+    std::map<std::string, RequestOrigin> internal_calls;       ///< By request id; the last one of each id.
     std::uint64_t starts = 0;  ///< Of all instances together; makes the names of incarnations unique.
 };
 
+/// Records the signals of a response that an entry passed on, if it has any.
+/// @param entry address at which the entry's node takes callers' requests.
+void recordPassedSignals(const HttpResponse& response, const std::string& entry, TimePoint now,
+                         InstanceRecords* records);
+
 /// How an instance reaches its local node. Both functions return false if the node is down.
 struct NodeLink {
     std::function<bool(const instance::Heartbeat&, const std::string& incarnation_name)> heartbeat;
@@ -105,7 +145,9 @@
     void finishRun(std::uint64_t run_id);
     void crashAndRestart();
     void failRun(std::uint64_t run_id);
-    HttpResponse makeResponse(const HttpRequest& request, int status) const;
+    HttpResponse makeResponse(const HttpRequest& request, int status);
+    /// Adds the headers that all responses of the instance have.
+    void addSignals(HttpResponse* response);
     void sendHeartbeat();
     void leave();
 
