--- a/src/quota/quota_shard.cc
+++ b/src/quota/quota_shard.cc
@@ -11,8 +11,6 @@
 
 /// Capacity of a bucket in tokens; below one it could never grant any.
 constexpr double kMinDepth = 1;
-/// Upper bound of the reported wait, for tiny rates.
-constexpr double kMaxWaitSeconds = 10;
 /// Wait reported by a shard that is not of the tenant: the requester's table is of another version.
 constexpr std::uint32_t kWrongShardRetryMs = 200;
 
@@ -34,19 +32,6 @@
     return (shard + kShardCount - firstShardOf(tenant.name())) % kShardCount < shardCountOf(tenant);
 }
 
-std::uint32_t TokenBucket::take(TimePoint now, double rate, double depth, std::uint32_t wanted) {
-    tokens_ = std::min(depth, tokens_ + rate * toSeconds(std::max(Duration::zero(), now - last_refill_)));
-    last_refill_ = std::max(last_refill_, now);
-    const auto taken = std::min<double>(wanted, std::floor(tokens_));
-    tokens_ -= taken;
-    return static_cast<std::uint32_t>(taken);
-}
-
-Duration TokenBucket::timeToNextToken(double rate) const {
-    const double missing = std::max(0.0, 1 - tokens_);
-    return fromSeconds(missing >= rate * kMaxWaitSeconds ? kMaxWaitSeconds : missing / rate);
-}
-
 wire::QuotaGrant::Line QuotaShard::grant(TimePoint now, const wire::Tenant& tenant, std::uint32_t wanted,
                                          std::uint32_t returned) {
     wire::QuotaGrant::Line line;
--- a/src/quota/quota_shard.h
+++ b/src/quota/quota_shard.h
@@ -12,6 +12,7 @@
 
 #include "proto/generated/fleet.pb.h"
 #include "src/base/time.h"
+#include "src/base/token_bucket.h"
 
 namespace dewcrank::quota {
 
@@ -26,24 +27,6 @@
 /// True if the shard grants tokens of the tenant.
 bool isShardOf(const wire::Tenant& tenant, std::uint32_t shard);
 
-/// A token bucket (rate and burst) that starts empty, so that a change of owner does not exceed the rate.
-class TokenBucket {
-public:
-    /// @param start from when on the bucket fills.
-    explicit TokenBucket(TimePoint start) : last_refill_(start) {}
-    /// Takes up to `wanted` whole tokens. @return the number taken.
-    /// @param rate tokens per second. @param depth capacity in tokens.
-    std::uint32_t take(TimePoint now, double rate, double depth, std::uint32_t wanted);
-    /// Puts back tokens that were taken and not used.
-    void returnTokens(std::uint32_t tokens) { tokens_ += tokens; }
-    /// Time until a whole token is available, at a rate in tokens per second; limited to 10 s.
-    [[nodiscard]] Duration timeToNextToken(double rate) const;
-
-private:
-    TimePoint last_refill_;
-    double tokens_ = 0;
-};
-
 /// Invariant: in any time span t, a shard grants at most rate * t + depth tokens of a tenant over all terms of its
 /// owners. Over all shards, the rates sum up to the tenant's rate, and the depths to its burst plus one token per
 /// shard. This requires terms that do not overlap (`ShardLease`).
--- a/tests/unit/quota/quota_test.cc
+++ b/tests/unit/quota/quota_test.cc
@@ -90,7 +90,7 @@
     adapters::SeededRandom random(seed);
     const auto tenant = tenantOf(rate, rate);
     const auto parts = static_cast<double>(nodes);
-    std::vector<quota::TokenBucket> buckets(nodes, quota::TokenBucket(kStart - 10s));
+    std::vector<TokenBucket> buckets(nodes, TokenBucket(kStart - 10s));
     std::vector<quota::QuotaShard> shards;
     for (std::uint32_t shard = 0; shard < quota::kShardCount; ++shard) {
         shards.emplace_back(shard, kStart - 10s);
