Pace the requests to an instance at the rate limit that it names

What callers saw: nothing at first; an instance in need that named 16 requests a second went on getting some 45, until it would have failed with what it ran. Cause: signals of instances in their responses were read by nobody. The relay beside an instance, which all its requests pass, bounded how many run at once, not how many are sent a second; the header went on to the caller unread. Change: RelayService reads the signals of each response (SignalHandler). A limit is in force from its first response on and ends with the first response without one to a request that was sent after it was last named (NamedRateLimit), so that responses read out of order cannot end it; an earlier one can only lower it. InstanceQueue sends at most rate * t + 5 in any time t (RateLimiter), with an empty bucket at the start; probes of the health path count as well. A request is sent at least every 4 s, or nothing would tell that a limit has ended. The expected wait goes by the rate, so that a request that cannot run in time is rejected at once and tried elsewhere; nothing is paid from the retry budget for that. Entries remember the limit of each incarnation and send it along: a relay that was restarted is bound by the first request of a node that was told. An incarnation with another start time has named nothing. A limited instance looks idle: its load counts by the slots that its rate fills (selection, admission, trials of suspects), and entries choose it only while its rate lets a request through. A limited instance keeps a few requests waiting, or its rate would not be used in full. A value that is no decimal number in range is ignored, counted and logged once an incarnation. Events rate_limit_changed, rate_limited, rate_limit_invalid; metrics dewcrank_instance_rate_limit, _rate_limits_invalid.

--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -21,9 +21,9 @@
                          InstanceRecords* records) {
     const HeaderNames names;
     InstanceSignals signals;
-    signals.is_leaving = response.headers.get(names.leaving) == "1";
-    if (response.headers.has(names.rate_limit)) {
-        signals.rate_limit = std::stod(std::string(response.headers.get(names.rate_limit)));
+    signals.is_leaving = response.headers.get(names.leaving.front()) == "1";
+    if (response.headers.has(names.rate_limit.front())) {
+        signals.rate_limit = std::stod(std::string(response.headers.get(names.rate_limit.front())));
     }
     if (signals != InstanceSignals{}) {
         records->passed_signals.push_back({entry, std::string(response.headers.get(names.server_stamp)), now, signals});
@@ -223,10 +223,10 @@
         changes.push_back({queue_.now(), signals});
     }
     if (signals.rate_limit) {
-        response->headers.set(names_.rate_limit, std::to_string(*signals.rate_limit));
+        response->headers.set(names_.rate_limit.front(), std::to_string(*signals.rate_limit));
     }
     if (signals.is_leaving) {
-        response->headers.set(names_.leaving, "1");
+        response->headers.set(names_.leaving.front(), "1");
     }
 }
 
--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -63,8 +63,13 @@
              static_cast<double>(sent.retries));
     setGauge("dewcrank_instance_probes_sent", "Probes of the instance's health path, since the start.",
              static_cast<double>(sent.probes));
+    const auto& signals = node.relay().signals();
+    setGauge("dewcrank_instance_rate_limit", "Requests a second that the instance takes; -1: no limit.",
+             signals.rateLimit().limit().value_or(-1));
+    setGauge("dewcrank_instance_rate_limits_invalid", "Limits named by the instance that could not be used.",
+             static_cast<double>(signals.invalidRateLimits()));
     setGauge("dewcrank_instance_headers_unread", "Different headers of the instance's responses that nothing reads.",
-             static_cast<double>(node.relay().unreadHeaders()));
+             static_cast<double>(signals.unreadHeaders()));
     setGauge("dewcrank_suspects", "Requests that ran when an instance of the service ended.",
              static_cast<double>(node.quarantine().suspectCount()));
     setGauge("dewcrank_quarantined", "Requests that are kept from the instances of the service.",
--- a/src/base/http_message.cc
+++ b/src/base/http_message.cc
@@ -68,6 +68,14 @@
                        [name](const Header& line) { return sameHeaderName(line.name, name); });
 }
 
+const Header* Headers::findAny(const std::vector<std::string>& names) const {
+    const auto found = std::find_if(lines_.begin(), lines_.end(), [&names](const Header& line) {
+        return std::any_of(names.begin(), names.end(),
+                           [&line](const std::string& name) { return sameHeaderName(line.name, name); });
+    });
+    return found == lines_.end() ? nullptr : &*found;
+}
+
 void removeHopByHopHeaders(Headers& headers) {
     for (const auto& name : splitList(std::string(headers.get("connection")))) {
         headers.remove(name);
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -25,6 +25,8 @@
     /// @return the first value of `name`, or an empty string.
     [[nodiscard]] std::string_view get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
+    /// @return the first header that has one of `names`, or null.
+    [[nodiscard]] const Header* findAny(const std::vector<std::string>& names) const;
     [[nodiscard]] const std::vector<Header>& lines() const { return lines_; }
     /// Removes all lines whose name starts with `prefix`.
     void removePrefix(std::string_view prefix);
--- a/src/decision/instance_demand.cc
+++ b/src/decision/instance_demand.cc
@@ -44,7 +44,7 @@
     const auto number = spanNumber(now);
     auto& span = spans_[static_cast<std::size_t>(number) % spans_.size()];
     if (span.number != number) {
-        span = {number, 0, 0};
+        span = {number, 0, 0, 0};
     }
     return span;
 }
@@ -65,7 +65,9 @@
     if (started_ == TimePoint{}) {
         started_ = now;
     }
-    spanAt(now).arrived_work += demand_weight * toSeconds(timeOf(route));
+    auto& span = spanAt(now);
+    span.arrived_work += demand_weight * toSeconds(timeOf(route));
+    span.arrived += demand_weight;
 }
 
 void InstanceDemand::onResponse(const std::string& route, Duration time) {
@@ -78,31 +80,50 @@
     running_ = running;
 }
 
+void InstanceDemand::restart(TimePoint now) {
+    started_ = now;
+    for (auto& span : spans_) {
+        span.arrived_work = 0;
+        span.arrived = 0;
+    }
+}
+
 Duration InstanceDemand::timeOf(const std::string& route) const {
     const auto found = times_.find(route);
     const double time = found == times_.end() ? kInitialTime : found->second;
     return fromSeconds(time);
 }
 
-ServiceLoad InstanceDemand::load(TimePoint now, std::uint32_t limit, Duration waiting_work) {
+ServiceLoad InstanceDemand::load(TimePoint now, const InstanceLimits& limits, Duration waiting_work) {
     addBusy(now);
     const auto first = spanNumber(now - knobs_.window);
     double work = 0;
+    double arrived = 0;
     double busy = 0;
     for (const auto& span : spans_) {
         if (span.number >= first) {
             work += span.arrived_work;
+            arrived += span.arrived;
             busy += span.busy;
         }
     }
     // The window begins with a complete span and ends within the current one.
     const auto window_start = std::max(started_, TimePoint(spanLength() * first));
     const double length = std::max(kMinWindow, toSeconds(now - window_start));
-    const double backlog = toSeconds(waiting_work) / toSeconds(knobs_.backlog_drain_time);
+    double backlog = toSeconds(waiting_work) / toSeconds(knobs_.backlog_drain_time);
+    const double mean_time = arrived > 0 ? work / arrived : kInitialTime;
+    double usable = limits.slots;
+    double target = knobs_.target_utilization * usable;
+    if (limits.rate_limit) {
+        usable = std::min(usable, *limits.rate_limit * mean_time);
+        // A few requests have to wait, or the rate would not be used in full. The queue bounds how many.
+        target = std::min(target, usable);
+        backlog = 0;
+    }
     ServiceLoad load;
     load.demand = work / length;
     load.busy = busy / length;
-    load.capacity = std::max(knobs_.min_share * limit, knobs_.target_utilization * limit - backlog);
+    load.capacity = std::max(knobs_.min_share * usable, target - backlog);
     return load;
 }
 
--- a/src/decision/instance_demand.h
+++ b/src/decision/instance_demand.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "src/base/time.h"
@@ -24,6 +25,12 @@
     [[nodiscard]] double admitRatio() const;
 };
 
+/// What bounds the requests of one instance.
+struct InstanceLimits {
+    std::uint32_t slots = 0;             ///< Requests that may run at once.
+    std::optional<double> rate_limit{};  ///< Requests per second; none: no limit.
+};
+
 /// Constants of the measurement.
 struct DemandKnobs {
     Duration window = 1s;              ///< Length of the sliding window.
@@ -48,10 +55,12 @@
     void onResponse(const std::string& route, Duration time);
     /// Registers a change of the number of slots in use to `running`.
     void onRunning(TimePoint now, std::uint32_t running);
+    /// Forgets the arrivals so far: entries choose the instance less often from now on.
+    void restart(TimePoint now);
     /// @return the load over the window that ends now.
-    /// @param limit          slots that may be used.
+    /// @param limits         of the instance. A rate limit counts as the slots that requests at this rate hold.
     /// @param waiting_work   slot time that queued requests need.
-    [[nodiscard]] ServiceLoad load(TimePoint now, std::uint32_t limit, Duration waiting_work);
+    [[nodiscard]] ServiceLoad load(TimePoint now, const InstanceLimits& limits, Duration waiting_work);
     /// @return the mean time that a request of the route holds a slot.
     [[nodiscard]] Duration timeOf(const std::string& route) const;
 
@@ -61,6 +70,7 @@
     struct Span {
         std::int64_t number = -1;  ///< `spanNumber` of its times; -1 before its first use.
         double arrived_work = 0;
+        double arrived = 0;  ///< Requests, by the same weights.
         double busy = 0;
     };
     [[nodiscard]] Duration spanLength() const { return knobs_.window / kSpans; }
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -84,6 +84,8 @@
     relay::RelayRequest request;
     request.request = plan_.request;
     request.instance = target.instance;
+    request.instance_start_ms = target.instance_start_ms;
+    request.known_rate_limit = target.known_rate_limit;
     request.is_retry = attempts_made_ > 0;
     request.is_retry_paid = is_retry_paid_;
     request.retry_policy = retryPolicy();
@@ -104,6 +106,7 @@
     on_node_changed_.disconnect();
     tried_.insert(target.node);
     relay_ = target.node;
+    instance_ = target.instance;
     services_.selector.onSent(relay_);
     auto request = relayRequest(target);
     if (target.node == services_.directory.self().name()) {
@@ -181,6 +184,7 @@
         services_.selector.onLoad(relay, result.load);
         services_.on_relay_result(plan_, relay, result);
     }
+    services_.selector.onNotice(instance_, result.notice);
     attempts_made_ += result.was_sent ? 1 : 0;
     is_retry_paid_ = result.is_retry_paid || (is_retry_paid_ && !result.was_sent);
     is_counted_ = is_counted_ || relay::countsTowardRetryBudget(result.reason);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -156,6 +156,7 @@
     TimerHandle instance_wait_timer_;            ///< Set while the call waits for an instance to become ready.
     sigc::connection on_node_changed_;           ///< Connected while the call waits for an instance.
     std::string relay_;                          ///< Node of the attempt in progress; empty: none.
+    std::string instance_;                       ///< Id of the instance that the attempt is for.
     AttemptHandle attempt_;                      ///< Attempt at another node's relay.
     TimePoint sent_{};                           ///< When `attempt_` was sent.
     relay::RelayService::CallId local_run_ = 0;  ///< Attempt at this node's own relay; 0: none.
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -5,11 +5,18 @@
 
 namespace dewcrank::entry {
 
+namespace {
+
+constexpr double kMinRate = 1e-3;      ///< Requests per second; avoids a division by zero.
+constexpr double kMinCapacity = 1e-3;  ///< Slots; avoids a division by zero.
+
+}  // namespace
+
 RelaySelector::RelaySelector(Clock& clock, RandomSource& random, const fleet::NodeDirectory& directory,
                              SelectorKnobs knobs)
     : clock_(clock), random_(random), directory_(directory), knobs_(knobs) {}
 
-bool RelaySelector::serves(const wire::NodeRecord& record, const std::string& service) {
+bool RelaySelector::serves(const wire::NodeRecord& record, const std::string& service) const {
     return fleet::NodeDirectory::isServing(record) && record.instance().service() == service;
 }
 
@@ -28,6 +35,18 @@
     return stats_[ordinal];
 }
 
+/// Few requests run at a limited instance, which must not make it look idle. While the rate lets a request through, an
+/// instance at its rate counts as full, so that others with free slots are preferred; afterwards as overloaded.
+double RelaySelector::limitedUtilization(const relay::QueueLoad& load, double in_flight, double sent_since,
+                                         Duration age) {
+    const double rate = std::max(*load.rate_limit, kMinRate);
+    const double wait = toSeconds(load.rate_wait) + std::max(0.0, sent_since) / rate - toSeconds(age);
+    if (wait > 0) {
+        return 1 + wait;
+    }
+    return std::min(1.0, (in_flight + 1) / std::max(load.capacity(), kMinCapacity));
+}
+
 double RelaySelector::costOf(TimePoint now, const Candidate& candidate) {
     const auto& stats = statsOf(candidate.ordinal);
     const auto age = now - stats.reported_at;
@@ -36,7 +55,9 @@
     const double reported_load = weight * (stats.load.running + stats.load.waiting);
     const double sent_since = stats.in_flight - weight * stats.in_flight_at_report;
     const double slots = std::max<std::uint32_t>(1, candidate.record.instance().slots());
-    double cost = std::max(0.0, reported_load + sent_since) / slots;
+    const double in_flight = std::max(0.0, reported_load + sent_since);
+    const bool is_limited = stats.load.rate_limit && age <= knobs_.rate_limit_memory;
+    double cost = is_limited ? limitedUtilization(stats.load, in_flight, sent_since, age) : in_flight / slots;
     if (candidate.cold_left > Duration::zero()) {
         cost = cost * knobs_.cold_factor + knobs_.cold_cost;
     }
@@ -75,11 +96,16 @@
                       fleet::NodeDirectory::isSuspected(*node)});
         }
     }
-    return best == nullptr ? chooseStopping(service, excluded)
-                           : RelayTarget{best->name(), best->address(), best->instance().id()};
+    return best == nullptr ? chooseStopping(service, excluded) : targetAt(*best, false);
+}
+
+RelayTarget RelaySelector::targetAt(const wire::NodeRecord& record, bool is_stopping) const {
+    const auto& instance = record.instance();
+    return {record.name(), record.address(), instance.id(), instance.born_ms(), known_signals_.rateLimitOf(instance),
+            is_stopping};
 }
 
-bool RelaySelector::servesWhileStopping(const wire::NodeRecord& record, const std::string& service) {
+bool RelaySelector::servesWhileStopping(const wire::NodeRecord& record, const std::string& service) const {
     return record.is_stopping() && record.instance().state() == wire::INSTANCE_READY &&
            record.instance().service() == service;
 }
@@ -99,8 +125,7 @@
     if (best == nullptr && !is_own) {
         return {};
     }
-    const auto& record = is_own ? self : best->record;
-    return {record.name(), record.address(), record.instance().id(), true};
+    return targetAt(is_own ? self : best->record, true);
 }
 
 bool RelaySelector::hasRelay(const std::string& service) const {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/base/decaying_mean.h"
+#include "src/entry/known_signals.h"
 #include "src/fleet/node_directory.h"
 #include "src/ports/clock.h"
 #include "src/ports/random_source.h"
@@ -24,14 +25,18 @@
     Duration load_decay = 2s;       ///< Weight of a reported load falls linearly to zero over this time.
     double failure_cost = 3;        ///< Multiplies the decaying mean of recent failures, from 0 to 1.
     Duration failure_decay = 2s;    ///< Decay time of that mean.
+    /// A reported rate limit counts for this long; then a request is to find out whether it still applies.
+    Duration rate_limit_memory = 5s;
 };
 
 /// Where a request is sent.
 struct RelayTarget {
-    std::string node;          ///< Node name; empty: no relay can be chosen.
-    std::string address;       ///< Address of the node.
-    std::string instance;      ///< Id of the node's instance.
-    bool is_stopping = false;  ///< The relay is stopping, and the only choice.
+    std::string node;                          ///< Node name; empty: no relay can be chosen.
+    std::string address;                       ///< Address of the node.
+    std::string instance;                      ///< Id of the node's instance.
+    std::uint64_t instance_start_ms = 0;       ///< Start time of its incarnation; 0 if it is not known.
+    std::optional<double> known_rate_limit{};  ///< Requests per second that the instance has named.
+    bool is_stopping = false;                  ///< The relay is stopping, and the only choice.
 };
 
 /// Estimates the load of each relay from its last report and from what this node has sent since.
@@ -54,6 +59,10 @@
     void onEnded(const std::string& node);
     /// Call when the relay of a node has reported its load.
     void onLoad(const std::string& node, const relay::QueueLoad& load);
+    /// Call when a result tells something about an instance. @param instance its id.
+    void onNotice(const std::string& instance, const relay::InstanceNotice& notice) {
+        known_signals_.onNotice(instance, notice);
+    }
     /// Call when the result of a request that was sent to a node's instance is known. @param has_failed true if the
     /// instance responded with a failure of its own, or sent no complete response.
     void onOutcome(const std::string& node, bool has_failed);
@@ -70,11 +79,12 @@
         int in_flight_at_report = 0;  ///< `in_flight` at `reported_at`.
         DecayingMean failures;        ///< 1 for each call that failed, 0 for each other.
     };
-    [[nodiscard]] static bool serves(const wire::NodeRecord& record, const std::string& service);
-    [[nodiscard]] static bool serves(const fleet::KnownNode& node, const std::string& service) {
+    [[nodiscard]] bool serves(const wire::NodeRecord& record, const std::string& service) const;
+    [[nodiscard]] bool serves(const fleet::KnownNode& node, const std::string& service) const {
         return !node.is_superseded && serves(node.record, service);
     }
-    [[nodiscard]] static bool servesWhileStopping(const wire::NodeRecord& record, const std::string& service);
+    [[nodiscard]] bool servesWhileStopping(const wire::NodeRecord& record, const std::string& service) const;
+    [[nodiscard]] RelayTarget targetAt(const wire::NodeRecord& record, bool is_stopping) const;
     /// A relay that may be chosen, from the directory.
     struct Candidate {
         const wire::NodeRecord& record;
@@ -85,12 +95,17 @@
     RelayStats& statsOf(std::size_t ordinal);
     RelayStats& statsOf(const std::string& node) { return statsOf(directory_.ordinalOf(node)); }
     double costOf(TimePoint now, const Candidate& candidate);
+    /// @param in_flight requests that run or wait at the relay. @param age of its report.
+    /// @return the utilization of an instance with a rate limit: below 1 only if a request could be sent at once.
+    [[nodiscard]] static double limitedUtilization(const relay::QueueLoad& load, double in_flight, double sent_since,
+                                                   Duration age);
     [[nodiscard]] RelayTarget chooseStopping(const std::string& service, const std::set<std::string>& excluded) const;
 
     Clock& clock_;
     RandomSource& random_;
     const fleet::NodeDirectory& directory_;
     SelectorKnobs knobs_;
+    KnownSignals known_signals_;
     std::vector<RelayStats> stats_;  ///< Indexed by the node's ordinal in the directory; 0 is this node.
 };
 
--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -15,8 +15,12 @@
 
 }  // namespace
 
+std::string incarnationName(const std::string& id, std::uint64_t start_ms) {
+    return start_ms == 0 ? id : id + "@" + std::to_string(start_ms);
+}
+
 std::string incarnationName(const wire::InstanceRecord& record) {
-    return record.born_ms() == 0 ? record.id() : record.id() + "@" + std::to_string(record.born_ms());
+    return incarnationName(record.id(), record.born_ms());
 }
 
 LocalInstance::LocalInstance(Clock& clock, Duration contact_timeout)
--- a/src/instance/local_instance.h
+++ b/src/instance/local_instance.h
@@ -29,6 +29,7 @@
 
 /// Name of one incarnation of an instance: its id and, if known, its start time. Used in logs and as a key, since
 /// several incarnations may share an id.
+std::string incarnationName(const std::string& id, std::uint64_t start_ms);
 std::string incarnationName(const wire::InstanceRecord& record);
 
 /// Tracks the one instance co-located with the node. Each start of an instance is an incarnation (id, start time).
--- a/src/relay/crash_detector.cc
+++ b/src/relay/crash_detector.cc
@@ -37,6 +37,7 @@
     request.path = probe_path_;
     request.headers.set("Host", address_);
     ++probes_sent_;
+    signal_probing_.emit();
     probe_ = instances_.send(address_, std::move(request), knobs_.probe_timeout,
                              [this, probes_left](const AttemptResult& result) {
                                  if (isConnectionLost(result) && probes_left > 1) {
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -39,6 +39,8 @@
     /// @return the number of probes sent since the start.
     [[nodiscard]] std::uint64_t probesSent() const { return probes_sent_; }
 
+    /// Emitted when a probe is sent.
+    sigc::signal<void()>& signalProbing() { return signal_probing_; }
     /// Emitted once after each burst, with true if the instance has crashed.
     sigc::signal<void(bool)>& signalDecided() { return signal_decided_; }
 
@@ -57,6 +59,7 @@
     std::size_t running_at_start_ = 0;  ///< Runs when the burst began.
     TimerHandle timer_;
     AttemptHandle probe_;
+    sigc::signal<void()> signal_probing_;
     sigc::signal<void(bool)> signal_decided_;
 };
 
--- a/src/relay/instance_queue.cc
+++ b/src/relay/instance_queue.cc
@@ -6,23 +6,37 @@
 
 namespace dewcrank::relay {
 
+double QueueLoad::capacity() const {
+    const double slots = limit;
+    return rate_limit ? std::min(slots, *rate_limit * toSeconds(mean_service_time)) : slots;
+}
+
+void InstanceQueue::setRateLimit(std::optional<double> rate) {
+    rate_limiter_.setRate(rate);
+    admitWaiting();
+}
+
 void InstanceQueue::setLimit(std::uint32_t limit) {
     limit_ = limit;
     admitWaiting();
 }
 
-Duration InstanceQueue::expectedWait(TimePoint virtual_deadline) const {
-    if (running_ < limit_ && waiting_.empty()) {
+Duration InstanceQueue::slotWaitBehind(std::size_t ahead) const {
+    if (running_ + ahead < limit_) {
         return {};
     }
-    const auto end = waiting_.upper_bound({virtual_deadline, std::numeric_limits<std::uint64_t>::max()});
-    const auto ahead = std::distance(waiting_.begin(), end);
     const auto slots = std::max<std::int64_t>(1, limit_);
-    return mean_service_time_ * (ahead + 1) / slots;
+    return mean_service_time_ * static_cast<std::int64_t>(ahead + 1) / slots;
+}
+
+Duration InstanceQueue::expectedWait(TimePoint virtual_deadline) const {
+    const auto end = waiting_.upper_bound({virtual_deadline, std::numeric_limits<std::uint64_t>::max()});
+    const auto ahead = static_cast<std::size_t>(std::distance(waiting_.begin(), end));
+    return std::max(slotWaitBehind(ahead), rate_limiter_.waitBehind(ahead));
 }
 
 std::uint64_t InstanceQueue::enter(const QueueRequest& request, Callback callback) {
-    if (running_ < limit_ && waiting_.empty()) {
+    if (waiting_.empty() && tryAdmit()) {
         ++running_;
         callback(Decision::kAdmitted);
         return 0;
@@ -42,6 +56,7 @@
         virtual_deadlines_.erase(key.second);
         expired.mapped().callback(Decision::kTimedOut);
     });
+    awaitToken();
     return ticket;
 }
 
@@ -63,16 +78,31 @@
 }
 
 void InstanceQueue::admitWaiting() {
-    while (running_ < limit_ && !waiting_.empty()) {
+    while (!waiting_.empty() && tryAdmit()) {
         auto next = waiting_.extract(waiting_.begin());
         virtual_deadlines_.erase(next.key().second);
         ++running_;
         next.mapped().callback(Decision::kAdmitted);
     }
+    awaitToken();
+}
+
+/// A free slot admits the next request when another one leaves; a token becomes available with time only.
+void InstanceQueue::awaitToken() {
+    if (waiting_.empty() || running_ >= limit_) {
+        token_timer_.reset();
+        return;
+    }
+    token_timer_ = clock_.startTimer(rate_limiter_.waitBehind(0), [this] { admitWaiting(); });
 }
 
 QueueLoad InstanceQueue::load() const {
-    return {running_, static_cast<std::uint32_t>(waiting_.size()), limit_, mean_service_time_};
+    return {running_,
+            static_cast<std::uint32_t>(waiting_.size()),
+            limit_,
+            mean_service_time_,
+            rate_limiter_.rate(),
+            rate_limiter_.waitBehind(waiting_.size())};
 }
 
 }  // namespace dewcrank::relay
--- a/src/relay/instance_queue.h
+++ b/src/relay/instance_queue.h
@@ -1,15 +1,17 @@
 /// @file
-/// Bounds the number of requests that run at one instance at once; other requests wait in order of their virtual
-/// deadlines.
+/// Bounds the number of requests that run at one instance at once, and the rate at which they are sent if the instance
+/// names one; other requests wait in order of their virtual deadlines.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "src/base/time.h"
 #include "src/ports/clock.h"
+#include "src/relay/rate_limiter.h"
 
 namespace dewcrank::relay {
 
@@ -29,8 +31,14 @@
 struct QueueLoad {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    std::uint32_t limit = 0;       ///< Requests that may run at once.
-    Duration mean_service_time{};  ///< Moving average of the time that a request holds a slot.
+    std::uint32_t limit = 0;             ///< Requests that may run at once.
+    Duration mean_service_time{};        ///< Moving average of the time that a request holds a slot.
+    std::optional<double> rate_limit{};  ///< Requests per second that the instance takes; none: no limit.
+    Duration rate_wait{};                ///< Time until the rate limit lets a further request through.
+
+    /// @return how many requests can run at once on average: the slots, or fewer (also less than one) at a limited
+    /// rate.
+    [[nodiscard]] double capacity() const;
 };
 
 /// Counts the running requests, and calls back when a waiting one is admitted or expires. Does not own the requests.
@@ -41,10 +49,16 @@
     using Callback = std::function<void(Decision)>;
 
     InstanceQueue(Clock& clock, QueueKnobs knobs)
-        : clock_(clock), knobs_(knobs), mean_service_time_(knobs.initial_estimate) {}
+        : clock_(clock), knobs_(knobs), rate_limiter_(clock), mean_service_time_(knobs.initial_estimate) {}
 
     /// @param limit maximum number of running requests. Waiting requests are admitted at once if the limit allows it.
     void setLimit(std::uint32_t limit);
+    /// @param rate maximum number of requests per second; nothing: no limit. Takes effect at once.
+    void setRateLimit(std::optional<double> rate);
+    /// Call when something was sent to the instance that did not pass the queue; it counts against the rate.
+    void onSentBeside() { rate_limiter_.takeAnyway(); }
+    /// Call when an admitted request was not sent after all, before `leave`.
+    void onNotSent() { rate_limiter_.returnToken(); }
     /// Admits a request, queues it, or rejects it if its expected wait exceeds `expires_at`. Calls back before it
     /// returns unless the request is queued. @return a ticket for `cancel` if the request is queued, else 0.
     std::uint64_t enter(const QueueRequest& request, Callback callback);
@@ -65,9 +79,16 @@
         TimerHandle timer;  ///< Fires at `expires_at`.
     };
     void admitWaiting();
+    void awaitToken();
+    /// @return whether a request may be sent now, which takes a token of the rate limit.
+    bool tryAdmit() { return running_ < limit_ && rate_limiter_.tryTake(); }
+    /// @return the expected time until a slot is free for a request with `ahead` others before it.
+    [[nodiscard]] Duration slotWaitBehind(std::size_t ahead) const;
 
     Clock& clock_;
     QueueKnobs knobs_;
+    RateLimiter rate_limiter_;
+    TimerHandle token_timer_;  ///< Set while requests wait for the rate limit.
     std::uint32_t limit_ = 0;
     std::uint32_t running_ = 0;
     Duration mean_service_time_;
--- a/src/relay/relay_message.h
+++ b/src/relay/relay_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "src/base/http_message.h"
@@ -27,15 +28,17 @@
     bool is_retry = false;       ///< The request was sent to an instance before.
     bool is_retry_paid = false;  ///< The retry budget of the relay where it failed has already granted the retry.
     RetryPolicy retry_policy = RetryPolicy::kNever;
-    bool is_counted = false;             ///< Another relay has already counted the request for its retry budget.
-    bool is_suspect = false;             ///< An instance crashed while it ran this request.
-    bool is_only_candidate = false;      ///< All relays of the service that the entry has a record of are stopping.
-    bool is_last_candidate = false;      ///< The entry tries no further relay if this one rejects it.
-    std::string route;                   ///< Name of the route in the table.
-    std::uint32_t priority = 0;          ///< 0 is the most urgent.
-    TimePoint deadline{};                ///< Time by which the instance must have responded.
-    Duration max_wait{};                 ///< Longest wait in the queue; the relay raises it for internal calls.
-    decision::CallContext call_context;  ///< Inherited from the run that makes this call.
+    bool is_counted = false;                 ///< Another relay has already counted the request for its retry budget.
+    bool is_suspect = false;                 ///< An instance crashed while it ran this request.
+    bool is_only_candidate = false;          ///< All relays of the service that the entry has a record of are stopping.
+    std::uint64_t instance_start_ms = 0;     ///< Start time of the instance's incarnation, as the entry knows it; or 0.
+    std::optional<double> known_rate_limit;  ///< That this incarnation named in a response to an earlier request.
+    bool is_last_candidate = false;          ///< The entry tries no further relay if this one rejects it.
+    std::string route;                       ///< Name of the route in the table.
+    std::uint32_t priority = 0;              ///< 0 is the most urgent.
+    TimePoint deadline{};                    ///< Time by which the instance must have responded.
+    Duration max_wait{};                     ///< Longest wait in the queue; the relay raises it for internal calls.
+    decision::CallContext call_context;      ///< Inherited from the run that makes this call.
 };
 
 /// What is known about the execution of a relayed request.
@@ -69,6 +72,14 @@
 /// @return whether a relay that rejects a request for this reason has counted it for its retry budget.
 [[nodiscard]] bool countsTowardRetryBudget(RelayReason reason);
 
+/// What a result tells about the incarnation of the instance that the request was for.
+struct InstanceNotice {
+    std::uint64_t start_ms = 0;          ///< Start time of the incarnation; 0 if it is not known.
+    bool is_leaving = false;             ///< The instance has said in its response that it is leaving.
+    bool is_rate_limit_known = false;    ///< The relay has read a response that tells whether there is a limit.
+    std::optional<double> rate_limit{};  ///< Requests per second that the instance takes; none: no limit.
+};
+
 /// A relay's result of a request.
 struct RelayResult {
     RelayOutcome outcome = RelayOutcome::kNotRun;
@@ -79,6 +90,7 @@
     HttpResponse response;           ///< Valid with kResponded.
     QueueLoad load;                  ///< Load of the instance; valid if `has_load`.
     bool has_load = false;
+    InstanceNotice notice;
     decision::RouteReport report;  ///< Report about the request's route; valid if `has_load`.
 };
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -8,6 +8,12 @@
 
 namespace dewcrank::relay {
 
+namespace {
+
+constexpr double kMinCapacity = 1e-3;  ///< Slots; avoids a division by zero.
+
+}  // namespace
+
 RelayService::RelayService(Clock& clock, EventLog& log, HttpTransport& instances, instance::LocalInstance& instance,
                            quarantine::Quarantine& quarantine, const HeaderNames& names, std::string instance_address,
                            InternalRouteDetector::HostShare host_share, RelayKnobs knobs)
@@ -23,12 +29,14 @@
       trials_(clock, knobs.trials, knobs.trial_gate),
       crash_detector_(clock, instances, instance_address_, knobs.crash_detector),
       runs_(clock, log, quarantine),
-      unread_headers_(log, names),
+      signals_(clock, log, instance, queue_, names, knobs.disabled),
       route_detector_(clock, std::move(host_share)),
       demand_(knobs.demand),
       call_graph_(knobs.call_graph),
       retries_(clock, call_graph_, knobs.retry_limit) {
     instance_.signalChanged().connect([this] { onInstanceChanged(); });
+    crash_detector_.signalProbing().connect([this] { queue_.onSentBeside(); });
+    signals_.signalRateLimitChanged().connect([this] { demand_.restart(clock_.now()); });
     crash_detector_.signalDecided().connect([this](bool has_crashed) { onCrashDecided(has_crashed); });
 }
 
@@ -40,9 +48,8 @@
     }
     trials_.gate().setConditionsSource([this, view] {
         const auto load = queue_.load();
-        const double slots = std::max<std::uint32_t>(1, load.limit);
         const double busy = std::max<double>(load.running + load.waiting, serviceLoad().busy);
-        return quarantine::TrialConditions{view(), busy / slots};
+        return quarantine::TrialConditions{view(), busy / std::max(kMinCapacity, load.capacity())};
     });
 }
 
@@ -81,6 +88,10 @@
     call.fingerprint = quarantine::fingerprintOf(call.request.request);
     call.callback = std::move(callback);
     call.request.deadline = std::min(call.request.deadline, stop_deadline_.value_or(TimePoint::max()));
+    if (call.request.known_rate_limit) {
+        const auto incarnation = instance::incarnationName(call.request.instance, call.request.instance_start_ms);
+        signals_.onPeerNotice(*call.request.known_rate_limit, incarnation, call.request_id);
+    }
     if (call.request.is_suspect && quarantine_.state(call.fingerprint) == quarantine::QuarantineState::kClear) {
         quarantine_.markSuspect(call.fingerprint);
         trials_.gate().onInstanceCrashed();  // The request arrived before the notice of the crash.
@@ -175,7 +186,7 @@
         return {};
     }
     const auto load = queue_.load();
-    return demand_.load(clock_.now(), load.limit, load.mean_service_time * load.waiting);
+    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting);
 }
 
 SendTotals RelayService::sendTotals() const {
@@ -216,6 +227,7 @@
     auto request = std::move(call.request.request);
     call.sent_at = clock_.now();
     call.incarnation = instance::incarnationName(instance_.record());
+    call.notice.start_ms = instance_.record().born_ms();
     auto call_context = call.request.call_context;
     call_context.retry_probability = call.request.is_retry ? 1 : call_context.retry_probability;
     auto deadline = call.request.deadline;
@@ -242,9 +254,20 @@
     if (isConnectionRefused(result)) {
         crash_detector_.onConnectionRefused();
     }
+    if (result.outcome == AttemptOutcome::kResponded) {
+        readSignals(calls_[id].get(), result.response);
+    }
     finish(id, resultOf(*calls_[id], std::move(result)));
 }
 
+/// A misdirected request was answered by another instance, whose signals are not those of the current one.
+void RelayService::readSignals(Call* call, const HttpResponse& response) {
+    if (response.status != kHttpMisdirected) {
+        const auto signals = signals_.onResponse(response, call->incarnation, call->sent_at, call->request_id);
+        call->notice.is_leaving = signals.is_leaving;
+    }
+}
+
 /// Ignores a crash of an incarnation that has been replaced meanwhile, as onInstanceChanged has handled it.
 void RelayService::onCrashDecided(bool has_crashed) {
     auto lost_attempts = std::exchange(lost_attempts_, {});
@@ -267,6 +290,7 @@
     if (incarnation != incarnation_) {
         const auto previous = std::exchange(incarnation_, incarnation);
         const auto previous_start_ms = std::exchange(start_ms_, record.born_ms());
+        signals_.onNewIncarnation();
         if (!is_leaving_ && runs_.hasRuns(previous)) {
             onCrash(previous);
         }
@@ -316,7 +340,6 @@
 RelayResult RelayService::resultOf(const Call& call, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kResponded) {
         instance_.onResponse();
-        unread_headers_.check(result.response, call.incarnation);
         return resultOfResponse(call, std::move(result.response));
     }
     RelayResult relayed;
@@ -393,12 +416,26 @@
     result.is_retry_paid = retries_.payForRetry(call.request, result);
     result.load = queue_.load();
     result.has_load = true;
+    result.notice = noticeFor(call);
     result.report.load = serviceLoad();
     result.report.time = demand_.timeOf(call.request.route);
     result.report.is_internal = route_detector_.classify(call.request.route);
     call.callback(std::move(result));
 }
 
+InstanceNotice RelayService::noticeFor(const Call& call) const {
+    auto notice = call.notice;
+    const auto& record = instance_.record();
+    const bool was_sent = call.sent_at != TimePoint{};
+    const bool is_current = record.id() == call.request.instance && (!was_sent || notice.start_ms == record.born_ms());
+    if (is_current) {
+        notice.start_ms = record.born_ms();
+        notice.is_rate_limit_known = signals_.rateLimit().isKnown();
+        notice.rate_limit = signals_.rateLimit().limit();
+    }
+    return notice;
+}
+
 void RelayService::cancel(CallId id) {
     const auto cancelled = calls_.extract(id);
     if (cancelled.empty()) {
@@ -417,6 +454,9 @@
         queue_.cancel(call.ticket);
     }
     if (call.is_admitted) {
+        if (call.sent_at == TimePoint{}) {
+            queue_.onNotSent();
+        }
         queue_.leave(time);
         demand_.onRunning(clock_.now(), queue_.load().running);
     }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -31,8 +31,8 @@
 #include "src/relay/internal_route_detector.h"
 #include "src/relay/relay_message.h"
 #include "src/relay/relay_retries.h"
+#include "src/relay/signal_handler.h"
 #include "src/relay/suspect_trials.h"
-#include "src/relay/unread_headers.h"
 
 namespace dewcrank::relay {
 
@@ -99,8 +99,8 @@
     [[nodiscard]] std::size_t inFlight() const { return calls_.size(); }
     [[nodiscard]] QueueLoad load() const { return queue_.load(); }
     [[nodiscard]] SendTotals sendTotals() const;
-    /// @return the number of different headers in responses of the instance that nothing reads.
-    [[nodiscard]] std::size_t unreadHeaders() const { return unread_headers_.count(); }
+    /// @return what the instance has said about itself in its responses.
+    [[nodiscard]] const SignalHandler& signals() const { return signals_; }
     [[nodiscard]] const decision::RetryTotals& retryTotals() const { return retries_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return retries_.window(); }
     /// Total of first attempts that another relay had already counted for its retry budget.
@@ -118,6 +118,7 @@
         RelayRequest request;     ///< Without its HTTP request once that was sent.
         std::string request_id;   ///< From the HTTP request.
         std::string incarnation;  ///< Name of the incarnation to which the request was sent.
+        InstanceNotice notice;    ///< About this incarnation.
         quarantine::Fingerprint fingerprint = 0;
         Callback callback;
         std::uint64_t ticket = 0;  ///< Ticket in the queue; 0 if the call does not wait there.
@@ -148,6 +149,7 @@
         CallId id = 0;
         AttemptResult result;
     };
+    void readSignals(Call* call, const HttpResponse& response);
     void onInstanceChanged();
     void onCrashDecided(bool has_crashed);
     void onCrash(const std::string& incarnation);
@@ -155,6 +157,7 @@
     RelayResult resultOf(const Call& call, AttemptResult result);
     RelayResult resultOfResponse(const Call& call, HttpResponse response);
     void onRunEnded(const Call& call, bool is_complete);
+    [[nodiscard]] InstanceNotice noticeFor(const Call& call) const;
     void finish(CallId id, RelayResult result);
     void leaveQueues(CallId id, const Call& call, Duration time);
 
@@ -170,7 +173,7 @@
     SuspectTrials trials_;
     CrashDetector crash_detector_;
     quarantine::RunTracker runs_;
-    UnreadHeaders unread_headers_;
+    SignalHandler signals_;
     SendTotals send_totals_;                  ///< Without the probes, which the crash detector counts.
     std::vector<LostAttempt> lost_attempts_;  ///< Until the crash detector has decided.
     std::string incarnation_;                 ///< Name of the current incarnation.
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -11,12 +11,14 @@
 
 /// Header of a request. Fields: name and table version of the sender, instance, route, priority, is_retry,
 /// is_last_candidate, remaining time and max_wait in microseconds, retry probability and demand weight in thousandths,
-/// is_counted, is_suspect, retry policy, is_retry_paid, is_only_candidate.
+/// is_counted, is_suspect, retry policy, is_retry_paid, is_only_candidate, start time of the instance, its known rate
+/// limit.
 constexpr std::string_view kRequestHeader = "dewcrank-relay-call";
 /// Header of a response. Fields: name and table version of the sender, outcome, reason, was_sent, running, waiting,
 /// limit, mean service time in microseconds, kind of the route, demand, capacity and busy slots in thousandths, slot
 /// time of the route in microseconds, bottleneck of its calls, admission ratio of that in thousandths and cost in
-/// microseconds, failed_downstream, 0 or the age of the sender's table in microseconds plus one, is_retry_paid.
+/// microseconds, failed_downstream, 0 or the age of the sender's table in microseconds plus one, is_retry_paid, start
+/// time of the instance, is_leaving, is_rate_limit_known, rate limit of the instance, wait for it in microseconds.
 constexpr std::string_view kResultHeader = "dewcrank-relay-result";
 constexpr double kThousand = 1000;
 /// Kind of a route: whether external callers or only instances call it, or not enough requests to tell.
@@ -32,6 +34,15 @@
     return static_cast<double>(number) / kThousand;
 }
 
+/// Writes a rate limit as 0 if there is none, else as one more than its thousandths.
+std::int64_t toRateField(const std::optional<double>& rate) {
+    return rate ? toThousandths(*rate) + 1 : 0;
+}
+
+std::optional<double> fromRateField(std::int64_t number) {
+    return number > 0 ? std::optional(fromThousandths(number - 1)) : std::nullopt;
+}
+
 RelayPeer readPeer(FieldReader* fields) {
     RelayPeer peer;
     peer.name = fields->text();
@@ -56,6 +67,20 @@
     return load;
 }
 
+void write(FieldWriter* fields, const InstanceNotice& notice) {
+    fields->add(static_cast<std::int64_t>(notice.start_ms)).add(notice.is_leaving ? 1 : 0);
+    fields->add(notice.is_rate_limit_known ? 1 : 0).add(toRateField(notice.rate_limit));
+}
+
+InstanceNotice readNotice(FieldReader* fields) {
+    InstanceNotice notice;
+    notice.start_ms = static_cast<std::uint64_t>(fields->number());
+    notice.is_leaving = fields->number() != 0;
+    notice.is_rate_limit_known = fields->number() != 0;
+    notice.rate_limit = fromRateField(fields->number());
+    return notice;
+}
+
 void write(FieldWriter* fields, const decision::RouteReport& report) {
     fields->add(report.is_internal ? (*report.is_internal ? kInternal : kExternal) : kUnclassified);
     fields->add(toThousandths(report.load.demand)).add(toThousandths(report.load.capacity));
@@ -103,6 +128,7 @@
     fields.add(request.is_counted ? 1 : 0).add(request.is_suspect ? 1 : 0);
     fields.add(static_cast<std::int64_t>(request.retry_policy)).add(request.is_retry_paid ? 1 : 0);
     fields.add(request.is_only_candidate ? 1 : 0);
+    fields.add(static_cast<std::int64_t>(request.instance_start_ms)).add(toRateField(request.known_rate_limit));
     auto message = std::move(request.request);
     message.headers.set(kRequestHeader, fields.take());
     return message;
@@ -130,6 +156,8 @@
     relayed.retry_policy = toRetryPolicy(fields.number());
     relayed.is_retry_paid = fields.number() != 0;
     relayed.is_only_candidate = fields.number() != 0;
+    relayed.instance_start_ms = static_cast<std::uint64_t>(fields.number());
+    relayed.known_rate_limit = fromRateField(fields.number());
     request.headers.removePrefix(kRelayHeaderPrefix);
     relayed.request = std::move(request);
     return received;
@@ -145,6 +173,8 @@
     fields.add(result.failed_downstream ? 1 : 0);
     fields.add(sender.table_age ? sender.table_age->count() + 1 : 0);
     fields.add(result.is_retry_paid ? 1 : 0);
+    write(&fields, result.notice);
+    fields.add(result.load.rate_wait.count());
     auto response = std::move(result.response);
     if (result.outcome != RelayOutcome::kResponded) {
         response.status = kHttpOk;
@@ -176,6 +206,9 @@
         received.sender.table_age = Duration(age - 1);
     }
     result.is_retry_paid = fields.number() != 0;
+    result.notice = readNotice(&fields);
+    result.load.rate_limit = result.notice.rate_limit;
+    result.load.rate_wait = Duration(fields.number());
     response.headers.removePrefix(kRelayHeaderPrefix);
     result.response = std::move(response);
     return received;
--- /dev/null
+++ b/src/relay/signal_handler.cc
@@ -0,0 +1,76 @@
+#include "src/relay/signal_handler.h"
+
+namespace dewcrank::relay {
+
+namespace {
+
+constexpr double kNoLimit = -1;              ///< In log lines.
+constexpr std::size_t kMaxValueLength = 64;  ///< Longer values are cut in the log.
+
+}  // namespace
+
+SignalHandler::SignalHandler(Clock& clock, EventLog& log, instance::LocalInstance& instance, InstanceQueue& queue,
+                             const HeaderNames& names, const DisabledMechanisms& disabled)
+    : clock_(clock),
+      log_(log),
+      instance_(instance),
+      queue_(queue),
+      names_(names),
+      disabled_(disabled),
+      unread_headers_(log, names) {}
+
+void SignalHandler::onNewIncarnation() {
+    rate_limit_.reset();
+    has_logged_invalid_ = false;
+    queue_.setRateLimit(std::nullopt);
+}
+
+InstanceSignals SignalHandler::onResponse(const HttpResponse& response, const std::string& incarnation, TimePoint sent,
+                                          const std::string& request_id) {
+    unread_headers_.check(response, incarnation);
+    const auto signals = readSignals(response, names_);
+    if (incarnation != instance::incarnationName(instance_.record())) {
+        return signals;
+    }
+    if (signals.has_invalid_rate_limit) {
+        onInvalidRateLimit(response, incarnation);
+    } else if (!disabled_.rate_limit_check && rate_limit_.onResponse(clock_.now(), sent, signals.rate_limit)) {
+        const auto* const header = response.headers.findAny(names_.rate_limit);
+        applyRateLimit(incarnation, request_id, header == nullptr ? "response" : header->name);
+    }
+    return signals;
+}
+
+void SignalHandler::onPeerNotice(double rate_limit, const std::string& incarnation, const std::string& request_id) {
+    const bool is_current = incarnation == instance::incarnationName(instance_.record());
+    if (is_current && !disabled_.rate_limit_check && rate_limit_.onPeerNotice(clock_.now(), rate_limit)) {
+        applyRateLimit(incarnation, request_id, "peer");
+    }
+}
+
+void SignalHandler::onInvalidRateLimit(const HttpResponse& response, const std::string& incarnation) {
+    ++invalid_rate_limits_;
+    if (has_logged_invalid_) {
+        return;
+    }
+    has_logged_invalid_ = true;
+    log_.write(Event("rate_limit_invalid")
+                   .with("instance", incarnation)
+                   .with("value", response.headers.findAny(names_.rate_limit)->value.substr(0, kMaxValueLength)));
+}
+
+void SignalHandler::applyRateLimit(const std::string& incarnation, const std::string& request_id,
+                                   const std::string& source) {
+    const auto previous = queue_.load().rate_limit;
+    const auto& limit = rate_limit_.limit();
+    log_.write(Event("rate_limit_changed")
+                   .with("instance", incarnation)
+                   .with("limit", limit.value_or(kNoLimit))
+                   .with("previous", previous.value_or(kNoLimit))
+                   .with("source", source)
+                   .with("request", request_id));
+    queue_.setRateLimit(limit);
+    signal_rate_limit_changed_.emit();
+}
+
+}  // namespace dewcrank::relay
--- a/src/sidecar/load_logger.cc
+++ b/src/sidecar/load_logger.cc
@@ -24,6 +24,7 @@
 void LoadLogger::write() {
     timer_ = clock_.startTimer(kInterval, [this] { write(); });
     writeRetries();
+    writeRateLimit();
     const auto load = relay_.load();
     const auto service_load = relay_.serviceLoad();
     const auto tightest = bottlenecks_.worstBottleneck(clock_.now());
@@ -42,6 +43,26 @@
                    .with("bottleneck", tightest.service));
 }
 
+/// Writes `rate_limited` while a limit is in force.
+void LoadLogger::writeRateLimit() {
+    const auto totals = relay_.sendTotals();
+    const auto sent = totals.first_attempts + totals.retries + totals.probes;
+    const auto sent_before = std::exchange(last_sent_, sent);
+    const auto& limit = relay_.signals().rateLimit();
+    if (!limit.limit()) {
+        return;
+    }
+    const auto load = relay_.load();
+    log_.write(Event("rate_limited")
+                   .with("service", service_)
+                   .with("limit", *limit.limit())
+                   .with("age_ms", toMilliseconds(clock_.now() - limit.namedAt()))
+                   .with("sent", sent - sent_before)
+                   .with("running", load.running)
+                   .with("waiting", load.waiting)
+                   .with("wait_ms", toMilliseconds(load.rate_wait)));
+}
+
 /// Writes `repeats` if there were requests or retries since the last check; `dewcrank repeats` sums the values.
 void LoadLogger::writeRetries() {
     const auto& now = relay_.retryTotals();
--- a/src/sidecar/load_logger.h
+++ b/src/sidecar/load_logger.h
@@ -17,6 +17,7 @@
 ///
 /// Log events:
 ///   load      demand is near the capacity of the instance, or a known bottleneck limits admission
+///   rate_limited   a rate limit that the instance has named is in force
 ///   repeats   there were requests or retries in the last second, which the event counts
 class LoadLogger {
 public:
@@ -27,6 +28,7 @@
 private:
     void write();
     void writeRetries();
+    void writeRateLimit();
 
     Clock& clock_;
     EventLog& log_;
@@ -35,6 +37,7 @@
     const decision::BottleneckView& bottlenecks_;
     const decision::RetryLimit& retry_limit_;
     decision::RetryTotals last_;             ///< As of the last check.
+    std::uint64_t last_sent_ = 0;            ///< All that was sent to the instance, as of the last check.
     std::uint64_t last_counted_before_ = 0;  ///< relay::RelayService::countedElsewhere() as of the last check.
     TimerHandle timer_;
 };
--- a/tests/unit/decision/instance_demand_test.cc
+++ b/tests/unit/decision/instance_demand_test.cc
@@ -29,7 +29,7 @@
         demand.onArrival(*now, "r", entry.demand_weight);
         demand.onRunning(*now, entry.running);
     }
-    return demand.load(*now, kLimit, entry.waiting_work);
+    return demand.load(*now, {kLimit}, entry.waiting_work);
 }
 
 }  // namespace
@@ -66,7 +66,7 @@
         for (; now < end; now += Duration(1s) / per_second) {
             demand.onArrival(now, "r", 1);
         }
-        return demand.load(now, kLimit, {}).admitRatio();
+        return demand.load(now, {kLimit}, {}).admitRatio();
     };
     BOOST_TEST(feed(900, 2s) == 1);
     const double halfway = feed(3600, 500ms);
@@ -87,7 +87,7 @@
     for (int step = 0; step < 20; ++step, now += 100ms) {
         demand.onRunning(now, step % 2 == 0 ? 10 : 0);
     }
-    const double busy = demand.load(now, kLimit, {}).busy;
+    const double busy = demand.load(now, {kLimit}, {}).busy;
     BOOST_TEST(busy > 4.5);
     BOOST_TEST(busy < 5.5);
 }
