Use the rate limits of services with many instances

Cause: a relay reports its demand with the result of a request, so there is a report only when there was an arrival: at few requests a second the reporting one makes the demand look greater than it is, and entries reject too much. And an instance at 0.3 a second could save one token only, which was lost whenever nobody asked for some seconds. Change: at a rate limit the reporting request does not count in the demand that it reports; at least two tokens are saved, within the slack of 5. Without a rate limit nothing changes: there the same bias is 1 / (requests of the window), listed as open for services of many relays.

--- a/src/decision/instance_demand.cc
+++ b/src/decision/instance_demand.cc
@@ -61,13 +61,15 @@
     }
 }
 
-void InstanceDemand::onArrival(TimePoint now, const std::string& route, double demand_weight) {
+CountedArrival InstanceDemand::onArrival(TimePoint now, const std::string& route, double demand_weight) {
     if (started_ == TimePoint{}) {
         started_ = now;
     }
     auto& span = spanAt(now);
-    span.arrived_work += demand_weight * toSeconds(timeOf(route));
-    span.arrived += demand_weight;
+    const CountedArrival arrival{now, demand_weight * toSeconds(timeOf(route)), demand_weight};
+    span.arrived_work += arrival.work;
+    span.arrived += arrival.weight;
+    return arrival;
 }
 
 void InstanceDemand::onResponse(const std::string& route, Duration time) {
@@ -94,7 +96,8 @@
     return fromSeconds(time);
 }
 
-ServiceLoad InstanceDemand::load(TimePoint now, const InstanceLimits& limits, Duration waiting_work) {
+ServiceLoad InstanceDemand::load(TimePoint now, const InstanceLimits& limits, Duration waiting_work,
+                                 const CountedArrival& reporting) {
     addBusy(now);
     const auto first = spanNumber(now - knobs_.window);
     double work = 0;
@@ -119,6 +122,8 @@
         // A few requests have to wait, or the rate would not be used in full. The queue bounds how many.
         target = std::min(target, usable);
         backlog = 0;
+        const bool is_counted = reporting.at >= started_ && spanNumber(reporting.at) >= first;
+        work = is_counted ? std::max(0.0, work - reporting.work) : work;
     }
     ServiceLoad load;
     load.demand = work / length;
--- a/src/decision/instance_demand.h
+++ b/src/decision/instance_demand.h
@@ -31,6 +31,13 @@
     std::optional<double> rate_limit{};  ///< Requests per second; none: no limit.
 };
 
+/// A request that was counted as demand.
+struct CountedArrival {
+    TimePoint at{};     ///< The epoch: it was not counted.
+    double work = 0;    ///< Seconds of slot time, weighted.
+    double weight = 0;  ///< Requests that it stands for.
+};
+
 /// Constants of the measurement.
 struct DemandKnobs {
     Duration window = 1s;              ///< Length of the sliding window.
@@ -50,7 +57,8 @@
     explicit InstanceDemand(DemandKnobs knobs) : knobs_(knobs) {}
     /// Counts a request that was admitted or queued, or that was rejected by the last relay it was sent to.
     /// @param demand_weight   requests that arrived at entries per admitted request; at least 1.
-    void onArrival(TimePoint now, const std::string& route, double demand_weight);
+    /// @return what was counted, for `load`.
+    CountedArrival onArrival(TimePoint now, const std::string& route, double demand_weight);
     /// Registers a response. @param time for which the request held a slot.
     void onResponse(const std::string& route, Duration time);
     /// Registers a change of the number of slots in use to `running`.
@@ -60,7 +68,11 @@
     /// @return the load over the window that ends now.
     /// @param limits         of the instance. A rate limit counts as the slots that requests at this rate hold.
     /// @param waiting_work   slot time that queued requests need.
-    [[nodiscard]] ServiceLoad load(TimePoint now, const InstanceLimits& limits, Duration waiting_work);
+    /// @param reporting      the request whose result carries the load. At a low rate limit it would make the demand
+    /// look
+    ///                       greater, as there is a report only when there was an arrival; it does not count then.
+    [[nodiscard]] ServiceLoad load(TimePoint now, const InstanceLimits& limits, Duration waiting_work,
+                                   const CountedArrival& reporting = {});
     /// @return the mean time that a request of the route holds a slot.
     [[nodiscard]] Duration timeOf(const std::string& route) const;
 
--- a/src/relay/rate_limiter.cc
+++ b/src/relay/rate_limiter.cc
@@ -11,7 +11,7 @@
 constexpr double kMinRate = 0.25;
 /// Requests that may be sent at once after a pause: those of this many seconds, within bounds.
 constexpr double kSavedSeconds = 1;
-constexpr double kMinDepth = 1;
+constexpr double kMinDepth = 2;
 constexpr double kMaxDepth = 5;
 /// A timer that is set for exactly one token must find it complete despite rounding.
 constexpr Duration kRounding = 1us;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -177,16 +177,16 @@
     // A rejected request that another relay may still accept does not count as demand for this instance.
     const bool is_accepted = call.ticket != 0 || call.is_admitted;
     if (is_accepted || request.is_last_candidate) {
-        demand_.onArrival(now, request.route, request.call_context.demand_weight);
+        call.counted = demand_.onArrival(now, request.route, request.call_context.demand_weight);
     }
 }
 
-decision::ServiceLoad RelayService::serviceLoad() {
+decision::ServiceLoad RelayService::serviceLoad(const decision::CountedArrival& reporting) {
     if (!instance_.isReady()) {
         return {};
     }
     const auto load = queue_.load();
-    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting);
+    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting, reporting);
 }
 
 SendTotals RelayService::sendTotals() const {
@@ -417,7 +417,7 @@
     result.load = queue_.load();
     result.has_load = true;
     result.notice = noticeFor(call);
-    result.report.load = serviceLoad();
+    result.report.load = serviceLoad(call.counted);
     result.report.time = demand_.timeOf(call.request.route);
     result.report.is_internal = route_detector_.classify(call.request.route);
     call.callback(std::move(result));
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -108,7 +108,8 @@
     /// Number of relays by which the slack of the retry budget is divided.
     [[nodiscard]] std::size_t retryRelayCount() { return retries_.relayCount(); }
     /// @return the demand for the instance and its capacity, in slots; all zero while the instance is not ready.
-    [[nodiscard]] decision::ServiceLoad serviceLoad();
+    /// @param reporting the request whose result carries the load, if any.
+    [[nodiscard]] decision::ServiceLoad serviceLoad(const decision::CountedArrival& reporting = {});
     /// @return the learned calls that the instance makes, by the routes that it serves.
     [[nodiscard]] decision::CallGraph& callGraph() { return call_graph_; }
 
@@ -125,6 +126,7 @@
         bool is_trial = false;     ///< The request is the one suspect that may run.
         bool is_admitted = false;  ///< The call holds a slot of the instance.
         TimePoint sent_at{};
+        decision::CountedArrival counted;    ///< As demand for the instance.
         decision::CallGraph::RunId run = 0;  ///< 0 before the request is sent.
         AttemptHandle attempt;
         TimerHandle rejection_timer;  ///< Delivers a rejection from the event loop.
--- a/tests/simulation/instance_signals_test.cc
+++ b/tests/simulation/instance_signals_test.cc
@@ -51,11 +51,12 @@
 struct LoadedFleet {
     explicit LoadedFleet(std::uint64_t seed, double per_second = kLoadPerSecond,
                          const DisabledMechanisms& disabled = {},
-                         const std::vector<sim::FleetService>& services = fleetServices())
-        : fleet(seed, services, disabled) {
+                         const std::vector<sim::FleetService>& services = fleetServices(),
+                         Duration load_time = kLoadTime)
+        : fleet(seed, services, disabled), load_time(load_time) {
         fleet.putTable("browse", "desk", "leaf");
         fleet.runFor(kWarmUp - 1s);
-        fleet.generateLoad(per_second, fleet.queue().now() + 1s + kLoadTime);
+        fleet.generateLoad(per_second, fleet.queue().now() + 1s + load_time);
         fleet.runFor(1s);
         started = fleet.queue().now();
     }
@@ -67,9 +68,10 @@
             nameRateLimit(machine, limit);
         }
     }
-    void runToEnd() { fleet.runFor(started + kLoadTime + 3s - fleet.queue().now()); }
+    void runToEnd() { fleet.runFor(started + load_time + 3s - fleet.queue().now()); }
 
     sim::SidecarFleet fleet;
+    Duration load_time;
     TimePoint started{};
 };
 
@@ -370,6 +372,35 @@
     }
 }
 
+// The bound and the use do not depend on the size of the service or of the rate.
+BOOST_AUTO_TEST_CASE(limits_hold_in_services_of_many_instances) {
+    const struct {
+        std::size_t copies;
+        double rate;
+        double load_per_second;
+        Duration load_time;  ///< Long enough for many requests at each instance.
+    } cases[] = {{30, 3, 200, kLoadTime}, {30, 0.3, 60, 60s}, {3, 300, 1800, kLoadTime}, {300, 0.3, 250, 60s}};
+    for (const auto& entry : cases) {
+        const std::vector<sim::FleetService> services = {{instanceOptions("browse", 30ms, 60), entry.copies},
+                                                         {instanceOptions("desk", 30ms, 60), kCopies}};
+        LoadedFleet it(1, entry.load_per_second, {}, services, entry.load_time);
+        it.nameRateLimits(kBrowse, entry.copies, entry.rate);
+        it.runToEnd();
+        const auto name = std::to_string(entry.copies) + " instances, " + std::to_string(entry.rate);
+        checkInvariants(it.fleet, name);
+        double most = 0;
+        for (std::size_t machine = 0; machine < entry.copies; ++machine) {
+            const auto& incarnation = it.fleet.instance(machine).incarnationName();
+            most = std::max(most, fullestWindow(it.fleet, incarnation, it.started + 1s));
+        }
+        BOOST_TEST(most <= entry.rate * toSeconds(sim::kRateLimitWindow) + sim::kRateLimitSlack, name << ": " << most);
+        const auto used = arrivalsPerSecond(it.fleet, incarnationsOf(it.fleet, kBrowse, entry.copies), it.started + 4s,
+                                            it.started + entry.load_time) /
+                          (entry.rate * static_cast<double>(entry.copies));
+        BOOST_TEST(used >= 0.95, name << ": " << used << " is used");
+    }
+}
+
 // Shows that the checks fail without the mechanisms.
 BOOST_AUTO_TEST_CASE(ignored_signals_are_seen) {
     DisabledMechanisms disabled;
--- a/tests/unit/decision/instance_demand_test.cc
+++ b/tests/unit/decision/instance_demand_test.cc
@@ -92,4 +92,48 @@
     BOOST_TEST(busy < 5.5);
 }
 
+BOOST_AUTO_TEST_CASE(a_rate_limit_counts_as_the_slots_that_it_fills) {
+    TimePoint now(100s);
+    decision::InstanceDemand demand{{}};
+    demand.onResponse("r", kTime);
+    const auto end = now + 3s;
+    for (; now < end; now += 10ms) {
+        demand.onArrival(now, "r", 1);
+        demand.onRunning(now, 1);
+    }
+    constexpr double kRate = 25;  // A quarter of the arrivals.
+    const auto load = demand.load(now, {kLimit, kRate}, {});
+    BOOST_TEST(load.admitRatio() > 0.22);
+    BOOST_TEST(load.admitRatio() < 0.28);
+    BOOST_TEST(load.capacity < 1);
+    BOOST_TEST(demand.load(now, {kLimit, 1000}, {}).admitRatio() == 1);
+}
+
+// There is a report only when there was an arrival: counting it would overestimate the demand at a low rate.
+BOOST_AUTO_TEST_CASE(the_reporting_request_does_not_count_as_demand_at_a_rate_limit) {
+    TimePoint now(100s);
+    decision::InstanceDemand demand{{}};
+    demand.onResponse("r", kTime);
+    demand.onArrival(now, "r", 1);
+    const auto arrival = demand.onArrival(now + 900ms, "r", 2);
+    now += 1s;
+    const double all = demand.load(now, {kLimit, 1}, {}).demand;
+    BOOST_TEST(demand.load(now, {kLimit, 1}, {}, arrival).demand == all / 3, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(demand.load(now, {kLimit}, {}, arrival).demand == demand.load(now, {kLimit}, {}).demand);
+    demand.restart(now);
+    BOOST_TEST(demand.load(now, {kLimit, 1}, {}, arrival).demand == 0);
+}
+
+// Guards against an instance whose demand of before a limit makes entries reject a whole service.
+BOOST_AUTO_TEST_CASE(a_restart_forgets_the_arrivals_so_far) {
+    TimePoint now(100s);
+    decision::InstanceDemand demand{{}};
+    demand.onResponse("r", kTime);
+    demand.onArrival(now, "r", 1000);
+    demand.restart(now);
+    BOOST_TEST(demand.load(now, {kLimit}, {}).demand == 0);
+    demand.onArrival(now, "r", 1);
+    BOOST_TEST(demand.load(now, {kLimit}, {}).demand > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/entry/relay_selector_test.cc
+++ b/tests/unit/entry/relay_selector_test.cc
@@ -86,4 +86,42 @@
     BOOST_TEST(!selector.choose("desk", {}).node.empty());
 }
 
+// Guards against a limited instance that attracts load because few requests run there.
+BOOST_AUTO_TEST_CASE(a_relay_at_its_rate_limit_is_chosen_last_and_asked_again_after_a_while) {
+    const relay::QueueLoad busy{10, 0, 19, 50ms};
+    selector.onLoad("b", busy);
+    selector.onLoad("c", busy);
+    selector.onLoad("a", {0, 0, 19, 50ms, 2, 400ms});
+    BOOST_TEST(!chosenCounts(20, "").contains("a"));
+    const relay::QueueLoad full{19, 10, 19, 50ms};
+    selector.onLoad("b", full);
+    selector.onLoad("c", full);
+    time.advance(400ms);
+    selector.onLoad("b", full);
+    selector.onLoad("c", full);
+    BOOST_TEST(selector.choose("desk", {}).node == "a");  // Its rate lets a request through.
+    time.advance(6s);
+    selector.onLoad("b", busy);
+    selector.onLoad("c", busy);
+    BOOST_TEST(selector.choose("desk", {}).node == "a");  // The report is old: the limit may have ended.
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_whose_instance_is_leaving_is_not_chosen_though_its_record_says_ready) {
+    selector.onNotice("i-a", {0, true, false, std::nullopt});
+    BOOST_TEST(!chosenCounts(200, "").contains("a"));
+    BOOST_TEST(selector.relayCount("desk") == 2U);
+    selector.onNotice("i-b", {0, true, false, std::nullopt});
+    selector.onNotice("i-c", {0, true, false, std::nullopt});
+    BOOST_TEST(selector.choose("desk", {}).node.empty());
+    BOOST_TEST(!selector.hasRelay("desk"));
+    BOOST_TEST(!selector.hasReachableRelay("desk", {}));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_carries_the_limit_that_this_node_was_told) {
+    selector.onNotice("i-a", {0, false, true, 16.3});
+    const auto target = selector.choose("desk", {"b", "c"});
+    BOOST_TEST(target.known_rate_limit.value() == 16.3);
+    BOOST_TEST(!selector.choose("desk", {"a", "c"}).known_rate_limit.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/instance/local_instance_test.cc
+++ b/tests/unit/instance/local_instance_test.cc
@@ -161,4 +161,18 @@
     BOOST_TEST(!local.onHeartbeat(beatWithStart("i9990", 9990, 2)));
 }
 
+// Guards against a heartbeat that still says ready after a response has said that the instance is leaving.
+BOOST_AUTO_TEST_CASE(an_instance_that_is_leaving_is_not_made_ready_by_its_heartbeats) {
+    local.onHeartbeat(beatWithStart("i1", 100, 4));
+    BOOST_TEST(local.onLeaving());
+    BOOST_TEST(!local.onLeaving());
+    BOOST_TEST(!local.acceptsCallsFor("i1"));
+    local.onHeartbeat(beatWithStart("i1", 100, 5));
+    BOOST_TEST((local.record().state() == wire::INSTANCE_DRAINING));
+    local.onHeartbeat(beatWithStart("i1", 200, 1));
+    BOOST_TEST(local.acceptsCallsFor("i1"));
+    local.onHeartbeat(beatWithStart("i1", 100, 6));  // A late one of the incarnation that was leaving.
+    BOOST_TEST(local.acceptsCallsFor("i1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -333,6 +333,8 @@
     request.max_wait = 70ms;
     request.is_retry_paid = true;
     request.is_only_candidate = true;
+    request.instance_start_ms = 1234567890123;
+    request.known_rate_limit = 0.25;
     request.retry_policy = relay::RetryPolicy::kAlways;
     const auto message = relay::toHttp(request, {"n1", 7}, TimePoint(4s));
     const auto received = relay::fromHttp(message, TimePoint(9s));
@@ -345,6 +347,8 @@
     BOOST_TEST(read->is_last_candidate);
     BOOST_TEST(read->is_retry_paid);
     BOOST_TEST(read->is_only_candidate);
+    BOOST_TEST(read->instance_start_ms == 1234567890123U);
+    BOOST_TEST(read->known_rate_limit.value() == 0.25);
     BOOST_TEST((read->retry_policy == relay::RetryPolicy::kAlways));
     BOOST_TEST(read->call_context.retry_probability == 0.25);
     BOOST_TEST(read->call_context.demand_weight == 3.5);
@@ -364,7 +368,8 @@
         result.reason = relay::RelayReason::kQueueTooLong;
         result.was_sent = true;
         result.response.status = 418;
-        result.load = {4, 5, 6, 7ms};
+        result.load = {4, 5, 6, 7ms, 0, 31ms};
+        result.notice = {1234567890123, true, true, 0};
         result.report.downstream = {"leaf", 0.25, 88ms};
         result.report.load = {30.5, 18, 17.25};
         result.report.time = 22ms;
@@ -385,6 +390,12 @@
         BOOST_TEST(back.report.load.busy == 17.25);
         BOOST_TEST((back.report.time == 22ms));
         BOOST_TEST(back.report.is_internal.value());
+        BOOST_TEST((back.load.rate_wait == 31ms));
+        BOOST_TEST(back.load.rate_limit.value() == 0);
+        BOOST_TEST(back.notice.start_ms == 1234567890123U);
+        BOOST_TEST(back.notice.is_leaving);
+        BOOST_TEST(back.notice.is_rate_limit_known);
+        BOOST_TEST(back.notice.rate_limit.value() == 0);
         BOOST_TEST(back.failed_downstream);
         BOOST_TEST(back.is_retry_paid);
         BOOST_TEST((back.response.status == 418) == (outcome == relay::RelayOutcome::kResponded));
