--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -216,7 +216,11 @@
 }
 
 void Fleet::poll() {
-    poll_timer_ = loop_.startTimer(kPollInterval, [this] { poll(); });
+    const auto due = loop_.now() + kPollInterval;
+    poll_timer_ = loop_.startTimer(kPollInterval, [this, due] {
+        max_lateness_ = std::max(max_lateness_, loop_.now() - due);
+        poll();
+    });
     for (std::size_t number = 0; number < nodes_.size(); ++number) {
         probeReadiness(number);
         readExits(number);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -68,6 +68,9 @@
     adapters::SeededRandom& random() { return random_; }
     /// True if callers may use the node: it has not failed two readiness probes in a row.
     [[nodiscard]] bool isInRotation(std::size_t number) const { return nodes_[number]->readiness_misses < 2; }
+    /// @return the longest time by which this process was late for a timer. While it is late, callers, instances and
+    /// the store do nothing, and responses that wait count as missing.
+    [[nodiscard]] Duration maxLateness() const { return max_lateness_; }
     /// True if the last readiness probe of every node succeeded.
     [[nodiscard]] bool allReady() const;
 
@@ -115,6 +118,7 @@
     std::uint64_t table_version_ = 0;
     std::vector<std::string> caller_routes_;
     TimerHandle poll_timer_;
+    Duration max_lateness_{};
 };
 
 }  // namespace dewcrank::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -179,6 +179,8 @@
         std::printf("requests: %zu, runs at instances: %zu, calls to the store: %llu\n",
                     fleet_.observations().requests.size(), fleet_.observations().runs.size(),
                     static_cast<unsigned long long>(fleet_.store().calls()));
+        std::printf("this process was late by %lld ms at most\n",
+                    static_cast<long long>(toMilliseconds(fleet_.maxLateness())));
         for (const auto& [status, count] : by_status) {
             std::printf("  %s %d: %d\n", status < 0 ? "left early" : "status", status, count);
         }
