--- a/src/decision/instance_demand.h
+++ b/src/decision/instance_demand.h
@@ -68,9 +68,8 @@
     /// @return the load over the window that ends now.
     /// @param limits         of the instance. A rate limit counts as the slots that requests at this rate hold.
     /// @param waiting_work   slot time that queued requests need.
-    /// @param reporting      the request whose result carries the load. At a low rate limit it would make the demand
-    /// look
-    ///                       greater, as there is a report only when there was an arrival; it does not count then.
+    /// @param reporting      request whose result carries the load. As there is a report only when there was an
+    ///                       arrival, it would overestimate the demand at a low rate limit, and is left out there.
     [[nodiscard]] ServiceLoad load(TimePoint now, const InstanceLimits& limits, Duration waiting_work,
                                    const CountedArrival& reporting = {});
     /// @return the mean time that a request of the route holds a slot.
--- a/tests/simulation/instance_signals_test.cc
+++ b/tests/simulation/instance_signals_test.cc
@@ -10,8 +10,10 @@
 
 #include "sim/sidecar_fleet.h"
 #include "src/base/http_status.h"
+#include "tests/support/fleets.h"
 
 using namespace dewcrank;
+using tests::instanceOptions;
 
 namespace {
 
@@ -28,23 +30,12 @@
 constexpr std::size_t kLeaf = 6;
 constexpr std::size_t kCopies = 3;
 
-sim::InstanceOptions instanceOptions(const std::string& service, Duration work, std::uint32_t slots) {
-    sim::InstanceOptions options;
-    options.service = service;
-    options.work_time = work;
-    options.slots = slots;
-    return options;
-}
-
-/// Two services for callers, both of which make internal calls of a third one.
+/// Runs fail with their internal calls, so that a rejected call wastes the work of its tree.
 std::vector<sim::FleetService> fleetServices() {
-    auto browse = instanceOptions("browse", 40ms, 20);
-    auto desk = instanceOptions("desk", 60ms, 20);
-    browse.internal_host = "inner.example";
-    desk.internal_host = "inner.example";
-    browse.fails_with_internal_call = true;
-    desk.fails_with_internal_call = true;
-    return {{browse, kCopies}, {desk, kCopies}, {instanceOptions("leaf", 20ms, 10), kCopies}};
+    auto services = tests::callingServices();
+    services[0].instance.fails_with_internal_call = true;
+    services[1].instance.fails_with_internal_call = true;
+    return services;
 }
 
 /// A fleet under load that has run for a second.
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -8,28 +8,13 @@
 
 #include "sim/sidecar_fleet.h"
 #include "src/base/http_status.h"
+#include "tests/support/fleets.h"
 
 using namespace dewcrank;
+using tests::instanceOptions;
 
 namespace {
 
-sim::InstanceOptions instanceOptions(const std::string& service, Duration work, std::uint32_t slots) {
-    sim::InstanceOptions options;
-    options.service = service;
-    options.work_time = work;
-    options.slots = slots;
-    return options;
-}
-
-/// Two services for callers, both of which make internal calls of a third one.
-std::vector<sim::FleetService> fleetServices() {
-    auto browse = instanceOptions("browse", 40ms, 20);
-    auto desk = instanceOptions("desk", 60ms, 20);
-    browse.internal_host = "inner.example";
-    desk.internal_host = "inner.example";
-    return {{browse, 3}, {desk, 3}, {instanceOptions("leaf", 20ms, 10), 3}};
-}
-
 using Fault = std::function<void(sim::SidecarFleet&)>;
 
 void forEachInstance(sim::SidecarFleet& fleet, const std::function<void(sim::InstanceOptions&)>& change) {
@@ -270,7 +255,7 @@
 using Violations = std::map<std::string, std::pair<int, std::string>>;
 
 Violations violationsUnder(const std::string& fault, std::uint64_t seed, const DisabledMechanisms& disabled) {
-    sim::SidecarFleet fleet(seed, fleetServices(), disabled);
+    sim::SidecarFleet fleet(seed, tests::callingServices(), disabled);
     fleet.putTable("browse", "desk", "leaf");
     fleet.runFor(4s);
     fleet.generateLoad(kLoad, fleet.queue().now() + 16s, 0.3, kCancelShare);
@@ -333,7 +318,7 @@
         for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
             DisabledMechanisms disabled;
             disabled.peer_name_check = is_disabled;
-            sim::SidecarFleet fleet(seed, fleetServices(), disabled);
+            sim::SidecarFleet fleet(seed, tests::callingServices(), disabled);
             fleet.putTable("browse", "desk", "leaf");
             fleet.runFor(4s);
             fleet.generateLoad(kLoad, fleet.queue().now() + 16s);
@@ -403,7 +388,7 @@
 /// One instance fails 40 % of its runs; callers see few of these failures.
 void checkFailuresAreRetried(const FailureCase& entry, std::uint64_t seed) {
     const auto label = std::to_string(entry.age / 1s) + " s old, seed " + std::to_string(seed);
-    sim::SidecarFleet fleet(seed, fleetServices());
+    sim::SidecarFleet fleet(seed, tests::callingServices());
     fleet.putTable("browse", "desk", "leaf");
     fleet.runFor(entry.age);
     fleet.instance(0).options().error_share = 0.4;
@@ -473,7 +458,7 @@
 /// out.
 BOOST_AUTO_TEST_CASE(calls_at_unresponsive_relays_do_not_time_out) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-        sim::SidecarFleet fleet(seed, fleetServices());
+        sim::SidecarFleet fleet(seed, tests::callingServices());
         fleet.putTable("browse", "desk", "leaf");
         fleet.runFor(4s);
         fleet.instance(1).drain();  // Calls from its zone go to the two other zones, one of which is cut off.
@@ -499,7 +484,7 @@
 /// Restarts instances under the ids that they had, under load, while heartbeats of earlier incarnations arrive late.
 /// @return the number of new incarnations that ran a request within 2.5 s of their start.
 std::size_t incarnationsServedSoon(std::uint64_t seed, bool reports_start_time) {
-    sim::SidecarFleet fleet(seed, fleetServices());
+    sim::SidecarFleet fleet(seed, tests::callingServices());
     forEachInstance(fleet, [&](sim::InstanceOptions& options) {
         options.keeps_id = true;
         options.reports_start_time = reports_start_time;
