--- a/src/base/disabled_mechanisms.h
+++ b/src/base/disabled_mechanisms.h
@@ -11,6 +11,7 @@
     bool not_executed_check = false;        ///< Entries respond 503 even if the request may have run.
     bool drain_check = false;               ///< Relays forward to a draining instance.
     bool rate_limit_check = false;          ///< Relays ignore the rate limit that an instance names.
+    bool leaving_check = false;             ///< Nodes ignore responses which say that the instance is leaving.
     bool caller_cancellation = false;       ///< Calls continue after their caller has disconnected.
     bool response_signature_check = false;  ///< Relays accept responses without the instance's signature.
     bool retry_budget_check = false;        ///< Retries are not limited.
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -184,7 +184,9 @@
         services_.selector.onLoad(relay, result.load);
         services_.on_relay_result(plan_, relay, result);
     }
-    services_.selector.onNotice(instance_, result.notice);
+    if (!services_.disabled.leaving_check) {
+        services_.selector.onNotice(instance_, result.notice);
+    }
     attempts_made_ += result.was_sent ? 1 : 0;
     is_retry_paid_ = result.is_retry_paid || (is_retry_paid_ && !result.was_sent);
     is_counted_ = is_counted_ || relay::countsTowardRetryBudget(result.reason);
--- a/src/entry/known_signals.cc
+++ b/src/entry/known_signals.cc
@@ -6,16 +6,21 @@
 
 namespace {
 
+/// Many more than leave within minutes, after which they have ended.
+constexpr std::size_t kMaxLeaving = 4096;
 /// Entries for incarnations that ended while limited are never cleared by a response.
 constexpr std::size_t kMaxRateLimits = 4096;
 
 }  // namespace
 
 void KnownSignals::onNotice(const std::string& instance, const relay::InstanceNotice& notice) {
-    if (!notice.is_rate_limit_known) {
+    if (!notice.is_leaving && !notice.is_rate_limit_known) {
         return;
     }
     const auto incarnation = instance::incarnationName(instance, notice.start_ms);
+    if (notice.is_leaving) {
+        addLeaving(incarnation);
+    }
     if (notice.rate_limit) {
         rate_limits_[incarnation] = *notice.rate_limit;
         if (rate_limits_.size() > kMaxRateLimits) {
@@ -26,6 +31,21 @@
     }
 }
 
+void KnownSignals::addLeaving(const std::string& incarnation) {
+    if (!leaving_.insert(incarnation).second) {
+        return;
+    }
+    leaving_order_.push_back(incarnation);
+    if (leaving_order_.size() > kMaxLeaving) {
+        leaving_.erase(leaving_order_.front());
+        leaving_order_.pop_front();
+    }
+}
+
+bool KnownSignals::isLeaving(const wire::InstanceRecord& record) const {
+    return !leaving_.empty() && leaving_.contains(instance::incarnationName(record));
+}
+
 std::optional<double> KnownSignals::rateLimitOf(const wire::InstanceRecord& record) const {
     if (rate_limits_.empty()) {
         return std::nullopt;
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -17,7 +17,8 @@
     : clock_(clock), random_(random), directory_(directory), knobs_(knobs) {}
 
 bool RelaySelector::serves(const wire::NodeRecord& record, const std::string& service) const {
-    return fleet::NodeDirectory::isServing(record) && record.instance().service() == service;
+    return fleet::NodeDirectory::isServing(record) && record.instance().service() == service &&
+           !known_signals_.isLeaving(record.instance());
 }
 
 std::size_t RelaySelector::relayCount(const std::string& service) const {
@@ -107,7 +108,7 @@
 
 bool RelaySelector::servesWhileStopping(const wire::NodeRecord& record, const std::string& service) const {
     return record.is_stopping() && record.instance().state() == wire::INSTANCE_READY &&
-           record.instance().service() == service;
+           record.instance().service() == service && !known_signals_.isLeaving(record.instance());
 }
 
 /// Prefers the relay with the most recent contact, which is the least likely to have stopped, and this node last.
--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -80,7 +80,8 @@
     record.set_id(heartbeat.id);
     record.set_born_ms(heartbeat.start_ms);
     record.set_slots(heartbeat.slots);
-    record.set_state(heartbeat.is_draining ? wire::INSTANCE_DRAINING : wire::INSTANCE_READY);
+    const bool is_draining = heartbeat.is_draining || state.is_leaving;
+    record.set_state(is_draining ? wire::INSTANCE_DRAINING : wire::INSTANCE_READY);
     record.set_cold_left_ms(static_cast<std::uint32_t>(toMilliseconds(heartbeat.cold_left)));
     // The remaining warm-up time passes by itself and does not count as a change.
     const bool is_change = incarnation != current() || record.state() != record_.state() ||
@@ -108,6 +109,18 @@
     }
 }
 
+bool LocalInstance::onLeaving() {
+    auto& state = stateOf(current());
+    if (state.is_leaving) {
+        return false;
+    }
+    state.is_leaving = true;
+    if (record_.state() == wire::INSTANCE_READY || record_.state() == wire::INSTANCE_UNKNOWN) {
+        setState(wire::INSTANCE_DRAINING);
+    }
+    return true;
+}
+
 void LocalInstance::onUnreachable() {
     if (isReady()) {
         setState(wire::INSTANCE_UNKNOWN);
--- a/src/instance/local_instance.h
+++ b/src/instance/local_instance.h
@@ -34,8 +34,8 @@
 
 /// Tracks the one instance co-located with the node. Each start of an instance is an incarnation (id, start time).
 /// Invariants: an older heartbeat never overrides a newer one of the same incarnation, and an incarnation that has
-/// left never returns. Of two incarnations the one with the later start time is current, since both use the same
-/// address; without start times it is the one received last.
+/// left never returns, nor does one that is leaving become ready again. Of two incarnations the one with the later
+/// start time is current, since both use the same address; without start times it is the one received last.
 class LocalInstance {
 public:
     /// @param contact_timeout time without heartbeat and response after which the state becomes unknown.
@@ -46,6 +46,9 @@
     /// The instance has announced its shutdown. @param start_ms start time of the incarnation that leaves; 0 if
     /// unknown.
     void onLeave(const std::string& id, std::uint64_t start_ms = 0);
+    /// The instance has said in a response that it is leaving: it counts as draining, whatever its heartbeats say.
+    /// @return whether that is new.
+    bool onLeaving();
     /// The instance could not be reached: its state is unknown until its next heartbeat.
     void onUnreachable();
     /// The instance has responded to a request: restarts the contact timeout.
@@ -72,6 +75,7 @@
     struct IncarnationState {
         std::uint64_t sequence = 0;           ///< Sequence number of its newest heartbeat.
         bool has_left = false;                ///< Later heartbeats are ignored.
+        bool is_leaving = false;              ///< Later heartbeats cannot make it ready again.
         std::uint64_t last_use = 0;           ///< The entry with the lowest value is evicted first.
         std::optional<TimePoint> first_seen;  ///< Set while an earlier start time delays the replacement.
     };
--- a/src/relay/signal_handler.cc
+++ b/src/relay/signal_handler.cc
@@ -38,6 +38,9 @@
         const auto* const header = response.headers.findAny(names_.rate_limit);
         applyRateLimit(incarnation, request_id, header == nullptr ? "response" : header->name);
     }
+    if (signals.is_leaving && !disabled_.leaving_check && instance_.onLeaving()) {
+        log_.write(Event("instance_leaving").with("instance", incarnation).with("request", request_id));
+    }
     return signals;
 }
 
--- a/src/relay/signal_handler.h
+++ b/src/relay/signal_handler.h
@@ -26,6 +26,7 @@
 /// Log events:
 ///   rate_limit_changed    the instance names a rate limit, another one, or none any more
 ///   rate_limit_invalid    the instance names a rate limit that is not a number in range; once an incarnation
+///   instance_leaving      the instance says in a response that it is leaving
 class SignalHandler {
 public:
     SignalHandler(Clock& clock, EventLog& log, instance::LocalInstance& instance, InstanceQueue& queue,
--- a/tests/simulation/instance_signals_test.cc
+++ b/tests/simulation/instance_signals_test.cc
@@ -327,6 +327,46 @@
         it.fleet.instance(kBrowse).options().says_leaving = true;
         it.runToEnd();
         checkInvariants(it.fleet, seedName(seed));
+        const double share = servedShare(it.fleet, "/work/x", it.started, it.started + kLoadTime);
+        BOOST_TEST(share >= 0.98, seedName(seed) << ": " << share << " is served by the others");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_request_follows_beside_restarts_suspensions_and_cuts_either) {
+    for (const auto& [fault, begin] : kFaults) {
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            LoadedFleet it(seed);
+            it.fleet.instance(kBrowse).options().says_leaving = true;
+            it.fleet.instance(kDesk).options().says_leaving = true;
+            it.fleet.instance(kLeaf).options().says_leaving = true;
+            it.nameRateLimit(kBrowse + 1, kRate);
+            begin(it.fleet);
+            it.runToEnd();
+            checkInvariants(it.fleet, fault + ", " + seedName(seed));
+        }
+    }
+}
+
+// A rolling release: instances leave by header or by heartbeat, and limited ones are among them.
+BOOST_AUTO_TEST_CASE(instances_that_leave_in_turn_while_others_are_limited) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        LoadedFleet it(seed);
+        it.nameRateLimits(kBrowse, kCopies, 25);
+        for (std::size_t machine = 0; machine < it.fleet.machineCount(); ++machine) {
+            const auto at = std::chrono::milliseconds(500 + 1000 * machine);
+            it.fleet.after(at, [&it, machine] { it.fleet.instance(machine).options().says_leaving = true; });
+            if (machine % 2 == 0) {
+                it.fleet.after(at + 500ms, [&it, machine] { it.fleet.instance(machine).drain(); });
+            }
+            it.fleet.after(at + 5s, [&it, machine] {
+                auto options = it.fleet.instance(machine).options();
+                options.says_leaving = false;
+                it.fleet.instance(machine).crash();
+                it.fleet.instance(machine).start(options);
+            });
+        }
+        it.runToEnd();
+        checkInvariants(it.fleet, seedName(seed));
     }
 }
 
@@ -334,14 +374,17 @@
 BOOST_AUTO_TEST_CASE(ignored_signals_are_seen) {
     DisabledMechanisms disabled;
     disabled.rate_limit_check = true;
+    disabled.leaving_check = true;
     LoadedFleet it(1, kLoadPerSecond, disabled);
     it.nameRateLimit(kBrowse, kRate);
+    it.fleet.instance(kDesk).options().says_leaving = true;
     it.runToEnd();
     std::set<std::string> broken;
     for (const auto& violation : it.fleet.violations()) {
         broken.insert(violation.invariant);
     }
     BOOST_TEST(broken.contains("rate limits of instances are respected"));
+    BOOST_TEST(broken.contains("leaving instances receive no requests"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
