--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -198,11 +198,7 @@
     stats.instance_connections_total = instances_.totalConnections();
     stats.heartbeats_rejected = rejected_heartbeats_;
     stats.log_lines_dropped = adapters::ProcessLog::droppedLines();
-    HttpResponse response;
-    response.status = kHttpOk;
-    response.headers.set("Content-Type", "text/plain; version=0.0.4");
-    response.body = metrics_.text(node_, stats);
-    exchange->reply(response);
+    exchange->reply(makeResponse(kHttpOk, "text/plain; version=0.0.4", metrics_.text(node_, stats)));
 }
 
 void SidecarDaemon::applyTableLimits() {
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -11,7 +11,7 @@
 protoc --proto_path=proto --cpp_out="$generated" fleet.proto
 diff -r proto/generated "$generated"
 echo "generated code: matches proto/*.proto"
-platform_names='Dewcrank-[A-Z][a-z]+-|/dewcrank/(readiness|Instances|objects)|AppAddr|PathPrefix|TargetLatencyMs|TrafficSplit'
+platform_names='Dewcrank-[A-Z][a-z]+-|/dewcrank/(readiness|Instances|objects)|AppAddr|PathPrefix|TargetLatencyMs|TrafficSplit|Server-(Limit|Leaving)'
 if git grep -nIE "$platform_names" -- src apps sim proto; then
     echo "names: platform names are used outside platform/" >&2
     exit 1
--- a/src/base/http_message.cc
+++ b/src/base/http_message.cc
@@ -40,6 +40,14 @@
 
 }  // namespace
 
+HttpResponse makeResponse(int status, const std::string& content_type, std::string body) {
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Content-Type", content_type);
+    response.body = std::move(body);
+    return response;
+}
+
 bool sameHeaderName(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -50,6 +50,9 @@
     std::string body;
 };
 
+/// @return a response with a body of this media type.
+HttpResponse makeResponse(int status, const std::string& content_type, std::string body);
+
 /// Compares two header names, ignoring case.
 bool sameHeaderName(std::string_view left, std::string_view right);
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -16,11 +16,7 @@
 constexpr double kMinAdmitRatio = 0.02;
 
 HttpResponse textResponse(int status, const std::string& text) {
-    HttpResponse response;
-    response.status = status;
-    response.headers.set("Content-Type", "text/plain");
-    response.body = text + "\n";
-    return response;
+    return makeResponse(status, "text/plain", text + "\n");
 }
 
 /// Parses the value of a header, a number of milliseconds. @return nothing if the value is invalid.
@@ -369,14 +365,21 @@
         return;
     }
     auto event = has_response ? Event("relayed") : Event("relay_refused");
-    ports_.log.write(event.with("request", request_id)
-                         .with("instance", instance::incarnationName(instance_.record()))
-                         .with("reason", relay::reasonText(result.reason))
-                         .with("offered", result.was_sent ? "yes" : "no")
-                         .with("running", result.load.running)
-                         .with("waiting", result.load.waiting)
-                         .with("limit", result.load.limit)
-                         .with("level", result.report.load.admitRatio()));
+    event.with("request", request_id)
+        .with("instance", instance::incarnationName(instance_.record()))
+        .with("reason", relay::reasonText(result.reason))
+        .with("offered", result.was_sent ? "yes" : "no")
+        .with("running", result.load.running)
+        .with("waiting", result.load.waiting)
+        .with("limit", result.load.limit)
+        .with("level", result.report.load.admitRatio());
+    if (const auto& rate = result.load.rate_limit) {
+        const auto age = ports_.clock.now() - relay_.signals().rateLimit().namedAt();
+        event.with("rate_limit", *rate)
+            .with("rate_limit_age_ms", toMilliseconds(age))
+            .with("rate_wait_ms", toMilliseconds(result.load.rate_wait));
+    }
+    ports_.log.write(event);
 }
 
 void SidecarNode::cancelCall(CallId call_id) {
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -99,6 +99,7 @@
     request->was_sent = result.outcome != AttemptOutcome::kNotSent;
     request->status = result.outcome == AttemptOutcome::kResponded ? result.response.status : 0;
     const auto& response = result.response;
+    fleet_.observations().onPassedResponse(request->entry, response);
     request->is_complete = response.headers.has(names_.server_stamp) && response.body.starts_with(request->id + " ");
     request->is_quarantined = request->status == kHttpServiceUnavailable && response.body == kQuarantineBody;
     if (request->status == kHttpServiceUnavailable && client_retries > 0) {
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -29,6 +29,7 @@
 constexpr double kShedShare = 0.5;
 constexpr double kLostResponseShare = 0.3;
 constexpr double kUnsignedShare = 0.3;
+constexpr double kRateLimit = 3;  ///< Requests per second that an instance names; a part of what it gets otherwise.
 
 }  // namespace
 
@@ -83,6 +84,9 @@
         {"burst", Scope::kNone, false, &F::startBurst, &F::stopBurst},
         {"crashing-requests", Scope::kNone, false, &F::startCrashingRequests, &F::stopCrashingRequests},
         {"resends", Scope::kNone, false, &F::startClientRetries, &F::stopClientRetries},
+        {"instance-limit", Scope::kNone, false, &F::limitInstance, &F::restoreInstance, {}, false},
+        {"service-limit", Scope::kNone, false, &F::limitService, &F::restoreService, {}, false},
+        {"instance-leaving", Scope::kNone, false, &F::announceLeaving, &F::replaceInstance, {}, false},
         {"machine-replaced", Scope::kNode, true, &F::replaceHost, &F::startReplacement, {}, false},
     };
     return all;
@@ -229,6 +233,24 @@
     forEachInstanceOfService(node, [this](std::size_t other) { restoreInstance(other); });
 }
 
+void FaultInjector::limitInstance(std::size_t node) {
+    fleet_.node(node).instance->faults().signals.rate_limit = kRateLimit;
+}
+
+void FaultInjector::limitService(std::size_t node) {
+    forEachInstanceOfService(node, [this](std::size_t other) { limitInstance(other); });
+}
+
+/// Heartbeats go on saying that the instance is ready, until a new incarnation replaces it.
+void FaultInjector::announceLeaving(std::size_t node) {
+    fleet_.node(node).instance->faults().signals.is_leaving = true;
+}
+
+void FaultInjector::replaceInstance(std::size_t node) {
+    restoreInstance(node);
+    startInstance(node);
+}
+
 void FaultInjector::forEachInstanceOfService(std::size_t node, const std::function<void(std::size_t)>& action) {
     const auto service = fleet_.node(node).instance_options.service;
     for (std::size_t other = 0; other < fleet_.size(); ++other) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -49,6 +49,10 @@
     // Instances
     void crashInstance(std::size_t node);
     void startInstance(std::size_t node);
+    void limitInstance(std::size_t node);
+    void limitService(std::size_t node);
+    void announceLeaving(std::size_t node);
+    void replaceInstance(std::size_t node);
     void drainInstance(std::size_t node);
     void slowInstance(std::size_t node);
     void failRuns(std::size_t node);
--- a/tests/soak/observations.cc
+++ b/tests/soak/observations.cc
@@ -46,6 +46,41 @@
     }
 }
 
+void Observations::onResponse(const std::string& instance, const sim::InstanceSignals& named) {
+    auto& last = last_signals_[instance];
+    if (last != named) {
+        last = named;
+        signals[instance].push_back({clock_.now(), sim::SignalEvent::Kind::kChange, "", named});
+    }
+}
+
+void Observations::onCallAnswered(const std::string& instance, const HttpResponse& response) {
+    if (const auto found = node_by_instance.find(instance); found != node_by_instance.end()) {
+        onPassedResponse(found->second, response);
+    }
+}
+
+void Observations::onPassedResponse(std::size_t node, const HttpResponse& response) {
+    const auto named = sim::signalsIn(response, names_);
+    const auto stamp = response.headers.get(names_.server_stamp);
+    if (named != sim::InstanceSignals{} && stamp.starts_with(standins::kStampPrefix)) {
+        const std::string instance(stamp.substr(standins::kStampPrefix.size()));
+        signals[instance].push_back({clock_.now(), sim::SignalEvent::Kind::kPassed, std::to_string(node), named});
+    }
+}
+
+void Observations::beginRestart(std::size_t node) {
+    restarts.push_back({node, clock_.now(), {}});
+}
+
+void Observations::endRestart(std::size_t node) {
+    for (auto& restart : restarts) {
+        if (restart.node == node && restart.ended == TimePoint{}) {
+            restart.ended = clock_.now();
+        }
+    }
+}
+
 void Observations::onDrainAcknowledged(const std::string& instance) {
     drained.try_emplace(instance, clock_.now());
 }
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -64,7 +64,15 @@
     void onArrival(const std::string& service, const std::string& instance, const HttpRequest& request) override;
     void onRunStarted(const std::string& service, const std::string& instance, const std::string& id) override;
     void onRunEnded(const std::string& instance, const std::string& id) override;
+    void onResponse(const std::string& instance, const sim::InstanceSignals& signals) override;
+    void onCallAnswered(const std::string& instance, const HttpResponse& response) override;
     void onDrainAcknowledged(const std::string& instance) override;
+    /// Records the signals in a response of an instance that a node has passed on.
+    void onPassedResponse(std::size_t node, const HttpResponse& response);
+    /// The node's process was sent a signal that ends or suspends it; its memory of instances may be lost from now on.
+    void beginRestart(std::size_t node);
+    /// The process has ended, or runs again.
+    void endRestart(std::size_t node);
     /// Records that the store has acknowledged a table.
     /// @param tenants_by_key API keys; empty if callers need none.
     void onTable(std::uint64_t version, std::map<std::string, std::string> services_by_route,
@@ -105,10 +113,20 @@
     std::vector<std::string> leaked_keys;  ///< Requests that reached an instance with their caller's key.
     std::map<std::string, std::string> tenant_by_request;  ///< Tenant header of the request at an instance.
     std::map<std::string, std::size_t> node_by_instance;
+    /// Signals of an incarnation and what nodes have passed on of them, by incarnation; in order of time.
+    std::map<std::string, std::vector<sim::SignalEvent>> signals;
+    /// Restart or suspension of a node.
+    struct Restart {
+        std::size_t node = 0;
+        TimePoint started{};
+        TimePoint ended{};  ///< The epoch while it lasts.
+    };
+    std::vector<Restart> restarts;
 
 private:
     Clock& clock_;
     HeaderNames names_;
+    std::map<std::string, sim::InstanceSignals> last_signals_;      ///< By incarnation.
     std::map<std::size_t, std::vector<Disturbance>> disturbances_;  ///< By node.
     std::set<std::string> arrived_;                                 ///< Pairs "service request" of all arrivals.
     std::set<std::string> calls_of_retries_;          ///< Ids of the internal calls that retried runs make.
--- a/tests/standins/instance.h
+++ b/tests/standins/instance.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "sim/signal_replay.h"
 #include "src/adapters/event_loop.h"
 #include "src/adapters/http_client.h"
 #include "src/adapters/http_server.h"
@@ -21,6 +22,9 @@
 /// A request whose path contains this crashes the instance that runs it.
 inline constexpr std::string_view kCrashPathMarker = "/crash-";
 
+/// Beginning of the server stamp in responses; the id of the incarnation follows.
+inline constexpr std::string_view kStampPrefix = "stamp-";
+
 /// Service, capacity and work of an instance.
 struct InstanceOptions {
     std::string service;
@@ -41,6 +45,7 @@
     double lost_responses = 0;      ///< Share of runs whose connection closes without a response.
     double unsigned_responses = 0;  ///< Share of responses without the server stamp header.
     bool hangs = false;             ///< Runs never complete.
+    sim::InstanceSignals signals;   ///< Named in all responses; heartbeats say ready all the same.
 };
 
 /// Receives the events of an instance. The `instance` arguments are ids of incarnations.
@@ -53,6 +58,10 @@
     virtual void onRunStarted(const std::string& service, const std::string& instance, const std::string& id) = 0;
     /// The run completed, was cancelled by its caller, or ended with a crash.
     virtual void onRunEnded(const std::string& instance, const std::string& id) = 0;
+    /// The instance is about to send a response with these signals.
+    virtual void onResponse(const std::string& instance, const sim::InstanceSignals& signals) = 0;
+    /// The instance's node has passed on this response to an internal call of the instance.
+    virtual void onCallAnswered(const std::string& instance, const HttpResponse& response) = 0;
     /// The node has acknowledged a heartbeat which says that the instance is draining.
     virtual void onDrainAcknowledged(const std::string& instance) = 0;
 };
@@ -103,6 +112,8 @@
     /// Responds without running the request if the queue is full, if requests are shed, or if the request names another
     /// incarnation. @return true if it was rejected.
     [[nodiscard]] bool rejectRequest(const HttpRequest& request, const Exchange& exchange);
+    /// Adds the signals to a response that is about to be sent.
+    void addSignals(HttpResponse* response);
     void startNext();
     void startRun(std::uint64_t number);
     void callInternal(std::uint64_t number);
--- a/tests/unit/soak/checks_test.cc
+++ b/tests/unit/soak/checks_test.cc
@@ -43,6 +43,24 @@
         request.headers.set(HeaderNames().request_id, id);
         observations.onArrival(service, "i3-1", request);
     }
+    /// The instance names signals in a response, which the node passes on.
+    void passSignals(const sim::InstanceSignals& signals) {
+        const HeaderNames names;
+        HttpResponse response;
+        response.headers.set(names.server_stamp, std::string(standins::kStampPrefix) + "i3-1");
+        sim::writeSignals(signals, names, &response.headers);
+        observations.onResponse("i3-1", signals);
+        observations.onPassedResponse(kNode, response);
+    }
+    /// Sends requests of their own, 100 ms apart, that arrive at the instance.
+    void sendThere(int count) {
+        for (int number = 0; number < count; ++number) {
+            auto& sent = request("/work/", 200);
+            sent.id = "c" + std::to_string(++last_number);
+            arrive("browse", sent.id);
+            time.advance(100ms);
+        }
+    }
     /// @return names of the violated invariants.
     std::vector<std::string> violated() {
         std::vector<std::string> invariants;
@@ -52,6 +70,7 @@
         return invariants;
     }
 
+    int last_number = 1;
     tests::VirtualTime time;
     soak::Observations observations{time.clock, HeaderNames()};
 };
@@ -232,6 +251,55 @@
              request.is_quarantined = true;
          }
      }},
+    {"as many requests as a rate limit allows", "",
+     [](SoakHistory& it) {
+         it.passSignals({1, false});  // Allows 1.5 * 4 + 5 in 4 s.
+         it.time.advance(3s);
+         it.sendThere(11);
+     }},
+    {"one more request than a rate limit allows", sim::kRateLimitInvariant,
+     [](SoakHistory& it) {
+         it.passSignals({1, false});
+         it.time.advance(3s);
+         it.sendThere(12);
+     }},
+    {"requests beyond a rate limit after the node has restarted", "",
+     [](SoakHistory& it) {
+         it.passSignals({1, false});
+         it.time.advance(3s);
+         it.observations.beginRestart(kNode);
+         it.sendThere(12);
+         it.observations.endRestart(kNode);
+         it.sendThere(12);
+     }},
+    {"requests after a rate limit has ended", "",
+     [](SoakHistory& it) {
+         it.passSignals({1, false});
+         it.time.advance(3s);
+         it.passSignals({});
+         it.sendThere(30);
+     }},
+    {"a request soon after a response that says the instance is leaving", "",
+     [](SoakHistory& it) {
+         it.passSignals({std::nullopt, true});
+         it.time.advance(1900ms);
+         it.sendThere(1);
+     }},
+    {"a request to an instance that has said it is leaving", sim::kLeavingInvariant,
+     [](SoakHistory& it) {
+         it.passSignals({std::nullopt, true});
+         it.time.advance(2100ms);
+         it.sendThere(1);
+     }},
+    {"a request to a leaving instance after the node was suspended", "",
+     [](SoakHistory& it) {
+         it.passSignals({std::nullopt, true});
+         it.observations.beginRestart(kNode);
+         it.time.advance(2100ms);
+         it.observations.endRestart(kNode);
+         it.time.advance(100ms);
+         it.sendThere(1);
+     }},
     {"unexpected exit of a process", "no node process exits unexpectedly",
      [](SoakHistory& it) { it.observations.onUnexpectedExit("browse-north exited with code 134"); }},
 };
