Log what calls to the store and messages between nodes waited for

Cause: the logs can't tell apart whether a late table was late at the store's watchers or between nodes, nor on which kind of connection a message was lost. Ruled out: metrics alone: the age of the table is a gauge already, but shows nothing of an attempt. Change: table_adopted and store_failed name the call and how long it waited; gossip_unanswered names peer, reason, wait and whether the connection had been idle (AttemptResult::used_idle_connection). No decision changes.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -26,6 +26,7 @@
         }
         connection_->setListener(this);
         if (connection_->isConnected()) {
+            used_idle_connection_ = true;
             sendRequest();
             return;
         }
@@ -53,7 +54,7 @@
         } else {
             client_.destroyLater(std::move(connection));
         }
-        finish({AttemptOutcome::kResponded, std::move(response), ""});
+        finish({AttemptOutcome::kResponded, std::move(response), "", used_idle_connection_});
     }
 
     void onFailed(const std::string& reason) override {
@@ -67,7 +68,10 @@
     }
 
     [[nodiscard]] AttemptResult failureResult(std::string reason) const {
-        return {is_sent_ ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent, {}, std::move(reason)};
+        return {is_sent_ ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
+                {},
+                std::move(reason),
+                used_idle_connection_};
     }
 
     void releaseConnection() {
@@ -96,6 +100,7 @@
     Duration timeout_{};
     std::unique_ptr<ClientConnection> connection_;
     bool is_sent_ = false;
+    bool used_idle_connection_ = false;
     TimerHandle timer_;
 };
 
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -281,6 +281,7 @@
         log_.write(Event("node_displaced").with("peer", name).with("by", response.sender()));
         directory_.onSuperseded(name);
     } else if (!has_response) {
+        logUnanswered(name, sent, result);
         directory_.onUnreachable(name);
     }
     if (done) {
@@ -288,6 +289,18 @@
     }
 }
 
+void Gossip::logUnanswered(const std::string& name, TimePoint sent, const AttemptResult& result) {
+    if (!log_.accepts("gossip_unanswered")) {
+        return;
+    }
+    log_.write(Event("gossip_unanswered")
+                   .with("peer", name)
+                   .with("reason", result.reason)
+                   .with("waited_ms", toMilliseconds(clock_.now() - sent))
+                   .with("connection", result.used_idle_connection ? "idle" : "new")
+                   .with("table", table_.version()));
+}
+
 /// Probes the shared address: the node that responds keeps it, the other one is superseded.
 void Gossip::resolveAddressConflict(const std::string& previous, const std::string& claimant) {
     probe(previous, knobs_.timeout, [this, previous, claimant](bool has_previous_responded) {
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -48,6 +48,8 @@
 ///   table_adopted    a newer table was received from the node `from`
 ///   store_returned   a greater era of the store became known
 ///   gossip_refused   a received message could not be parsed
+///   gossip_unanswered   a message to `peer` has no response after `waited_ms`, sent on a `connection` that is new or
+///   idle
 class Gossip {
 public:
     Gossip(Clock& clock, RandomSource& random, EventLog& log, HttpTransport& nodes, NodeDirectory& directory,
@@ -96,6 +98,7 @@
     void sendTo(const std::string& address, const std::string& name, const wire::Gossip& message, Duration timeout,
                 OnResponse done);
     void onResponse(const std::string& name, TimePoint sent, const AttemptResult& result, const OnResponse& done);
+    void logUnanswered(const std::string& name, TimePoint sent, const AttemptResult& result);
     void resolveAddressConflict(const std::string& previous, const std::string& claimant);
     void mergeMessage(const wire::Gossip& message, wire::Gossip* reply);
     void sendDigest(const std::string& name);
--- a/src/ports/http_transport.h
+++ b/src/ports/http_transport.h
@@ -24,6 +24,9 @@
     AttemptOutcome outcome = AttemptOutcome::kNotSent;
     HttpResponse response;  ///< Only with kResponded.
     std::string reason;     ///< Why there is no response.
+    /// The request went out on a connection that had carried earlier ones. If there is no response, the connection may
+    /// be broken rather than the peer.
+    bool used_idle_connection = false;
 };
 
 /// Values of AttemptResult::reason that the code depends on; other reasons are free text.
--- a/src/sidecar/table_watcher.cc
+++ b/src/sidecar/table_watcher.cc
@@ -5,6 +5,10 @@
 
 namespace dewcrank::sidecar {
 
+namespace {
+constexpr std::string_view kWatch = "watch";
+}  // namespace
+
 TableWatcher::TableWatcher(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
                            fleet::NodeDirectory& directory, fleet::Gossip& gossip, policy::RouteTable& table,
                            policy::TableLease& lease, const TableWatcherKnobs& knobs,
@@ -111,22 +115,26 @@
         read();
     } else {
         store_.watchTable(revision_, knobs_.watch_timeout,
-                          [this](std::optional<TableRead> response) { onResponse(std::move(response), true); });
+                          [this, sent = clock_.now()](std::optional<TableRead> response) {
+                              onResponse(std::move(response), {kWatch, sent});
+                          });
     }
 }
 
 void TableWatcher::read() {
     store_.readTable([this, sent = clock_.now()](std::optional<TableRead> response) {
-        adopt(&response, sent);
-        onResponse(std::move(response), false);
+        const EndedCall call{"read", sent};
+        adopt(&response, call);
+        onResponse(std::move(response), call);
     });
 }
 
 void TableWatcher::refresh() {
     store_.readTable([this, sent = clock_.now()](std::optional<TableRead> response) {
-        const bool has_response = adopt(&response, sent);
+        const EndedCall call{"refresh", sent};
+        const bool has_response = adopt(&response, call);
         if (!has_response) {
-            log_.write(Event("store_failed").with("step", "refresh"));
+            logFailed("refresh", call);
         }
         refresher_.onReadEnded(has_response);
     });
@@ -134,46 +142,64 @@
 
 /// Adopts the table of a read. A linearizable read also confirms the table's lease, unless the store returned an older
 /// version than has been seen: it was restored from a copy, and may lack further versions that revoke keys.
-/// @param sent time at which the read was started. @return true if the store responded.
-bool TableWatcher::adopt(std::optional<TableRead>* response, TimePoint sent) {
+/// @return true if the store responded.
+bool TableWatcher::adopt(std::optional<TableRead>* response, const EndedCall& call) {
     if (!*response) {
         return false;
     }
     gossip_.onStoreEra(store_.era());
     auto& table = (*response)->table;
     const bool is_newest = (table ? table->version() : 0) >= table_.newestSeen();
-    if (table && table_.adopt(std::move(*table))) {
-        log_.write(Event("table_adopted").with("version", table_.version()).with("from", "store"));
+    if (table) {
+        adoptTable(std::move(*table), call);
     }
     table.reset();
     if (is_newest) {
-        lease_.onRead(sent);
+        lease_.onRead(call.sent);
     }
     return true;
 }
 
+void TableWatcher::adoptTable(wire::RouteTable table, const EndedCall& call) {
+    if (table_.adopt(std::move(table))) {
+        log_.write(Event("table_adopted")
+                       .with("version", table_.version())
+                       .with("from", "store")
+                       .with("call", call.name)
+                       .with("waited_ms", toMilliseconds(clock_.now() - call.sent)));
+    }
+}
+
+void TableWatcher::logFailed(std::string_view step, const EndedCall& call) {
+    log_.write(Event("store_failed")
+                   .with("step", step)
+                   .with("call", call.name)
+                   .with("waited_ms", toMilliseconds(clock_.now() - call.sent)));
+}
+
 /// A watch that spans a restore of the store starts at a revision that was assigned twice and may miss changes: the
 /// table is read again.
-void TableWatcher::onResponse(std::optional<TableRead> response, bool is_watch) {
+void TableWatcher::onResponse(std::optional<TableRead> response, const EndedCall& call) {
     if (!response) {
-        onFailed();
+        onFailed(call);
         return;
     }
     backoff_ = knobs_.min_backoff;
     failures_ = 0;
     directory_.setStoreUnreachable(false);
-    if (response->table && table_.adopt(std::move(*response->table))) {
-        log_.write(Event("table_adopted").with("version", table_.version()).with("from", "store"));
+    if (response->table) {
+        adoptTable(std::move(*response->table), call);
     }
     gossip_.onStoreEra(store_.era());
     const bool is_same_era = std::exchange(era_, gossip_.storeEra()) == gossip_.storeEra();
     const bool is_outdated = store_.era() < gossip_.storeEra();
+    const bool is_watch = call.name == kWatch;
     revision_ = (is_watch && !is_same_era) || is_outdated ? 0 : response->revision;
     startNextCall();
 }
 
-void TableWatcher::onFailed() {
-    log_.write(Event("store_failed").with("step", "table"));
+void TableWatcher::onFailed(const EndedCall& call) {
+    logFailed("table", call);
     if (++failures_ >= knobs_.failures_to_hand_over && isCandidate()) {
         directory_.setStoreUnreachable(true);
     }
--- a/src/sidecar/table_watcher.h
+++ b/src/sidecar/table_watcher.h
@@ -51,8 +51,9 @@
 ///
 /// Log events:
 ///   store_followed   this node starts to watch the store
-///   table_adopted    a newer table was read from the store (`from=store`)
-///   store_failed     a read or watch (`step=table`), or a read of the refresher (`step=refresh`) has failed
+///   table_adopted    a newer table was read from the store (`from=store`), by a `call` that took `waited_ms`
+///   store_failed     a read or watch (`step=table`), or a read of the refresher (`step=refresh`) has failed; `call`
+///                    and `waited_ms` as above
 class TableWatcher {
 public:
     TableWatcher(Clock& clock, RandomSource& random, EventLog& log, ControlStore& store,
@@ -73,9 +74,16 @@
     void startNextCall();
     void read();
     void refresh();
-    bool adopt(std::optional<TableRead>* response, TimePoint sent);
-    void onResponse(std::optional<TableRead> response, bool is_watch);
-    void onFailed();
+    /// A call to the store that has ended.
+    struct EndedCall {
+        std::string_view name;  ///< "read", "watch" or "refresh".
+        TimePoint sent{};
+    };
+    void adoptTable(wire::RouteTable table, const EndedCall& call);
+    void logFailed(std::string_view step, const EndedCall& call);
+    bool adopt(std::optional<TableRead>* response, const EndedCall& call);
+    void onResponse(std::optional<TableRead> response, const EndedCall& call);
+    void onFailed(const EndedCall& call);
     Duration nextBackoff();
 
     Clock& clock_;
