--- a/sim/control_store.cc
+++ b/sim/control_store.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/ports/http_transport.h"
+
 namespace dewcrank::sim {
 
 namespace {
@@ -48,52 +50,80 @@
     return hosts;
 }
 
-Duration SimControlStore::responseTime() const {
-    return isServed() ? model_.response_time_ : kCallTimeout;
+void ControlStoreModel::silenceConnections() {
+    for (const auto& weak : connections_) {
+        if (const auto connection = weak.lock()) {
+            connection->is_silent = true;
+        }
+    }
+    connections_.clear();
+}
+
+SimControlStore::ConnectionPtr SimControlStore::takeConnection() {
+    std::erase_if(idle_connections_,
+                  [this](const auto& it) { return model_.queue_.now() - it->idle_since >= kMaxIdleTime; });
+    if (!idle_connections_.empty()) {
+        auto connection = std::move(idle_connections_.back());
+        idle_connections_.pop_back();
+        return connection;
+    }
+    auto connection = std::make_shared<ControlStoreModel::Connection>();
+    model_.connections_.push_back(connection);
+    return connection;
 }
 
-void SimControlStore::countCall() {
+SimControlStore::ConnectionPtr SimControlStore::startCall() {
     ++model_.calls_;
-    if (isServed()) {
+    auto connection = takeConnection();
+    if (isServed(connection)) {
         model_.last_served_[&host_] = model_.queue_.now();
     }
+    return connection;
 }
 
 void SimControlStore::schedule(Duration delay, std::function<void()> action) {
     model_.queue_.schedule(model_.queue_.now() + delay, &host_, std::move(action));
 }
 
-void SimControlStore::respond(Duration delay, std::function<void()> action) {
-    schedule(delay, [this, is_served = isServed(), era = model_.state_.era, action = std::move(action)] {
-        era_ = is_served ? era : era_;
-        action();
-    });
+void SimControlStore::respond(const ConnectionPtr& connection, Duration timeout, std::function<void()> action) {
+    const bool is_served = isServed(connection);
+    schedule(is_served ? model_.response_time_ : timeout,
+             [this, connection, is_served, era = model_.state_.era, action = std::move(action)] {
+                 if (is_served) {
+                     era_ = era;
+                     connection->idle_since = model_.queue_.now();
+                     idle_connections_.push_back(connection);
+                 }
+                 action();
+             });
 }
 
 void SimControlStore::readTable(TableCallback callback) {
-    countCall();
+    const auto connection = startCall();
     std::optional<TableRead> read;
-    if (isServed()) {
+    if (isServed(connection)) {
         read.emplace();
         read->revision = model_.state_.revision;
         if (model_.state_.table_revision > 0) {
             read->table = model_.state_.table;
         }
     }
-    respond(isServed() ? responseTime() : kReadTimeout, [callback = std::move(callback), read] { callback(read); });
+    respond(connection, kReadTimeout, [callback = std::move(callback), read] { callback(read); });
 }
 
 void SimControlStore::watchTable(std::uint64_t revision, Duration wait, TableCallback callback) {
-    countCall();
-    if (revision < model_.oldest_revision_ || revision > model_.state_.revision) {
-        respond(responseTime(), [callback = std::move(callback)] { callback(TableRead{}); });
+    const auto connection = startCall();
+    const bool is_unknown = revision < model_.oldest_revision_ || revision > model_.state_.revision;
+    if (is_unknown && isServed(connection)) {
+        respond(connection, kWatchTimeout, [callback = std::move(callback)] { callback(TableRead{}); });
         return;
     }
-    pollWatch(revision, model_.queue_.now() + wait, callback);
+    pollWatch(connection, revision, model_.queue_.now() + wait, callback);
 }
 
-void SimControlStore::pollWatch(std::uint64_t revision, TimePoint end, const TableCallback& callback) {
-    if (!isServed()) {
+void SimControlStore::pollWatch(const ConnectionPtr& connection, std::uint64_t revision, TimePoint end,
+                                const TableCallback& callback) {
+    if (!isServed(connection)) {
         schedule(end + kWatchTimeout - model_.queue_.now(), [callback] { callback(std::nullopt); });
         return;
     }
@@ -105,31 +135,29 @@
         if (is_changed) {
             read.table = model_.state_.table;
         }
-        respond(responseTime(), [callback, read] { callback(read); });
+        respond(connection, kWatchTimeout, [callback, read] { callback(read); });
         return;
     }
-    schedule(kWatchPollInterval, [this, revision, end, callback] { pollWatch(revision, end, callback); });
+    schedule(kWatchPollInterval,
+             [this, connection, revision, end, callback] { pollWatch(connection, revision, end, callback); });
 }
 
 void SimControlStore::announce(const NodeAddress& node, DoneCallback callback) {
-    countCall();
-    const bool is_accepted = isServed();
+    const auto connection = startCall();
+    const bool is_accepted = isServed(connection);
     if (is_accepted) {
         model_.saveSnapshot();
         model_.state_.nodes[node.name] = node;
     }
-    respond(responseTime(), [callback = std::move(callback), is_accepted] { callback(is_accepted); });
+    respond(connection, kCallTimeout, [callback = std::move(callback), is_accepted] { callback(is_accepted); });
 }
 
 void SimControlStore::listNodes(Freshness freshness, NodesCallback callback) {
     const bool is_stale = freshness == Freshness::kMaybeStale;
-    if (is_stale) {
-        ++model_.stale_list_calls_;
-    } else {
-        countCall();
-    }
+    const auto connection = is_stale ? takeConnection() : startCall();
+    model_.stale_list_calls_ += is_stale ? 1 : 0;
     std::optional<std::vector<NodeAddress>> nodes;
-    if (isServed()) {
+    if (isServed(connection)) {
         nodes.emplace();
         const auto& listed =
             is_stale ? model_.stateAt(model_.queue_.now() - model_.stale_list_age_).nodes : model_.state_.nodes;
@@ -137,41 +165,41 @@
             nodes->push_back(node);
         }
     }
-    respond(responseTime(), [callback = std::move(callback), nodes] { callback(nodes); });
+    respond(connection, kCallTimeout, [callback = std::move(callback), nodes] { callback(nodes); });
 }
 
 void SimControlStore::withdraw(const std::string& name, DoneCallback callback) {
-    countCall();
-    const bool is_accepted = isServed();
+    const auto connection = startCall();
+    const bool is_accepted = isServed(connection);
     if (is_accepted) {
         model_.saveSnapshot();
         model_.state_.nodes.erase(name);
     }
-    respond(responseTime(), [callback = std::move(callback), is_accepted] { callback(is_accepted); });
+    respond(connection, kCallTimeout, [callback = std::move(callback), is_accepted] { callback(is_accepted); });
 }
 
 void SimControlStore::readLeases(LeasesCallback callback) {
-    countCall();
+    const auto connection = startCall();
     std::optional<std::vector<LeaseRecord>> leases;
-    if (isServed()) {
+    if (isServed(connection)) {
         leases.emplace();
         for (const auto& [name, lease] : model_.state_.leases) {
             leases->push_back(lease);
         }
     }
-    respond(isServed() ? responseTime() : kReadTimeout, [callback = std::move(callback), leases] { callback(leases); });
+    respond(connection, kReadTimeout, [callback = std::move(callback), leases] { callback(leases); });
 }
 
 void SimControlStore::putLease(const LeaseRecord& lease, DoneCallback callback) {
-    countCall();
+    const auto connection = startCall();
     auto& stored = model_.state_.leases[lease.name];
-    const bool is_accepted = isServed() && stored.revision == lease.revision;
+    const bool is_accepted = isServed(connection) && stored.revision == lease.revision;
     if (is_accepted) {
         model_.saveSnapshot();
         stored = lease;
         stored.revision = ++model_.state_.revision;
     }
-    respond(responseTime(), [callback = std::move(callback), is_accepted] { callback(is_accepted); });
+    respond(connection, kCallTimeout, [callback = std::move(callback), is_accepted] { callback(is_accepted); });
 }
 
 }  // namespace dewcrank::sim
--- a/sim/control_store.h
+++ b/sim/control_store.h
@@ -1,10 +1,11 @@
 /// @file
-/// A model of the platform's store as sidecar nodes use it: linearizable, and unavailable, slow or restored from a
-/// backup when a test asks for it.
+/// A model of the platform's store as sidecar nodes use it: linearizable, and unavailable, slow, silent on open
+/// connections or restored from a backup when a test asks for it.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -33,6 +34,9 @@
     void setRejected(const Host& host, bool is_rejected) {
         is_rejected ? void(rejected_hosts_.insert(&host)) : void(rejected_hosts_.erase(&host));
     }
+    /// Makes all open connections of nodes silent for good: open watches hear nothing any more, and calls on them get
+    /// no response. New connections work.
+    void silenceConnections();
     /// Sets the time that each response takes.
     void setResponseTime(Duration time) { response_time_ = time; }
     /// Drops the change history: watches from earlier revisions get a response that makes them read again.
@@ -53,6 +57,11 @@
     EventQueue& queue_;
     [[nodiscard]] bool serves(const Host& host) const { return !is_down_ && !rejected_hosts_.contains(&host); }
 
+    /// A connection of a node to the store.
+    struct Connection {
+        TimePoint idle_since{};
+        bool is_silent = false;  ///< Nothing arrives on it any more.
+    };
     using Nodes = std::map<std::string, NodeAddress>;
     /// All that a backup contains.
     struct State {
@@ -78,6 +87,7 @@
     std::uint64_t stale_list_calls_ = 0;
     Duration stale_list_age_ = 1s;
     std::map<const Host*, TimePoint> last_served_;
+    std::vector<std::weak_ptr<Connection>> connections_;  ///< All that were opened since the last fault.
 };
 
 /// The store as one host reaches it.
@@ -94,19 +104,26 @@
     void putLease(const LeaseRecord& lease, DoneCallback callback) override;
 
 private:
-    [[nodiscard]] bool isServed() const { return model_.serves(host_); }
-    /// @return the time until the response, or until the call times out.
-    [[nodiscard]] Duration responseTime() const;
-    void countCall();
+    using ConnectionPtr = std::shared_ptr<ControlStoreModel::Connection>;
+    /// @return the idle connection that was used last, or a new one.
+    ConnectionPtr takeConnection();
+    [[nodiscard]] bool isServed(const ConnectionPtr& connection) const {
+        return model_.serves(host_) && !connection->is_silent;
+    }
+    /// Starts a call: counts it. @return its connection.
+    ConnectionPtr startCall();
     /// Runs `action` on this host after `delay`.
     void schedule(Duration delay, std::function<void()> action);
-    /// Like `schedule`, and first takes over the store's era if the host is served now.
-    void respond(Duration delay, std::function<void()> action);
-    void pollWatch(std::uint64_t revision, TimePoint end, const TableCallback& callback);
+    /// Ends a call: runs `action` when the response arrives, after it has taken over the store's era, or else when the
+    /// call times out. The connection is idle after a response, and closed after a timeout.
+    void respond(const ConnectionPtr& connection, Duration timeout, std::function<void()> action);
+    void pollWatch(const ConnectionPtr& connection, std::uint64_t revision, TimePoint end,
+                   const TableCallback& callback);
 
     ControlStoreModel& model_;
     Host& host_;
     std::uint64_t era_ = 0;  ///< Of the last response.
+    std::vector<ConnectionPtr> idle_connections_;
 };
 
 }  // namespace dewcrank::sim
--- a/sim/network.cc
+++ b/sim/network.cc
@@ -33,6 +33,7 @@
     TimerHandle timer;
     bool used_idle_connection = false;
     bool is_connected = false;
+    bool is_silent = false;  ///< Nothing arrives on its connection any more.
     bool is_delivered = false;
     bool has_response = false;
     bool is_finished = false;
@@ -66,10 +67,34 @@
     }
 }
 
+void Network::setCut(const Host& from, const Host& to, bool is_cut) {
+    if (is_cut) {
+        cut_hosts_.insert({&from, &to});
+    } else {
+        cut_hosts_.erase({&from, &to});
+    }
+}
+
 bool Network::isCut(const std::string& from, const std::string& to) const {
     return cuts_.contains({baseZone(from), baseZone(to)});
 }
 
+/// Calls that are connected, or were sent on an idle connection, have an open connection. A call that connects has none
+/// yet.
+void Network::silenceConnections(const std::function<bool(const ConnectionEnds&)>& affects) {
+    for (auto& [ends, connections] : idle_connections_) {
+        if (affects({*ends.first, ends.second})) {
+            for (auto& connection : connections) {
+                connection.is_silent = true;
+            }
+        }
+    }
+    for (auto& [number, call] : calls_) {
+        const bool has_connection = call->is_connected || call->used_idle_connection;
+        call->is_silent = call->is_silent || (has_connection && affects({*call->from, call->address}));
+    }
+}
+
 Duration Network::latency(const std::string& from, const std::string& to) {
     auto base = baseZone(from) == baseZone(to) ? options_.intra_zone : options_.inter_zone;
     if (from != baseZone(from) || to != baseZone(to)) {
@@ -111,8 +136,9 @@
     }
     auto& idle = idle_connections_[{&from, address}];
     auto delay = latency(from.zone(), found->second.host->zone());
-    std::erase_if(idle, [this](TimePoint since) { return queue_.now() - since >= kMaxIdleTime; });
+    std::erase_if(idle, [this](const auto& it) { return queue_.now() - it.since >= options_.max_idle_time; });
     if (!idle.empty()) {
+        call->is_silent = idle.back().is_silent;
         idle.pop_back();
         call->used_idle_connection = true;
     } else {
@@ -126,7 +152,7 @@
 void Network::deliver(const CallPtr& call) {
     const auto& server = servers_.at(call->address);
     auto* host = server.host;
-    if (call->is_finished || isCut(call->from->zone(), host->zone())) {
+    if (call->is_finished || call->is_silent || isBlocked(*call->from, *host)) {
         return;
     }
     const bool is_closed = closing_servers_.contains(call->address) && !call->used_idle_connection;
@@ -151,20 +177,21 @@
 
 void Network::respond(const CallPtr& call, HttpResponse response) {
     call->has_response = true;
-    const auto& from = call->server_host->zone();
-    const auto& to = call->from->zone();
-    if (call->is_finished || isCut(from, to)) {
+    const auto& from = *call->server_host;
+    const auto& to = *call->from;
+    if (call->is_finished || call->is_silent || isBlocked(from, to)) {
         return;
     }
     const bool has_no_response = response.status == 0;
     auto result = has_no_response ? AttemptResult{AttemptOutcome::kUnknown, {}, std::string(kConnectionClosed)}
                                   : AttemptResult{AttemptOutcome::kResponded, std::move(response), ""};
-    queue_.schedule(queue_.now() + latency(from, to), call->from, [this, call, from, to, result = std::move(result)] {
-        if (call->is_finished || isCut(from, to)) {
+    const auto delay = latency(from.zone(), to.zone());
+    queue_.schedule(queue_.now() + delay, call->from, [this, call, result = std::move(result)] {
+        if (call->is_finished || call->is_silent || isBlocked(*call->server_host, *call->from)) {
             return;
         }
         if (result.outcome == AttemptOutcome::kResponded && !closing_servers_.contains(call->address)) {
-            idle_connections_[{call->from, call->address}].push_back(queue_.now());
+            idle_connections_[{call->from, call->address}].push_back({queue_.now()});
         }
         finish(call, result);
     });
@@ -179,6 +206,7 @@
     if (call->callback == nullptr) {
         return;
     }
+    result.used_idle_connection = call->used_idle_connection;
     const auto callback = std::exchange(call->callback, nullptr);
     release(call);
     callback(std::move(result));
@@ -192,7 +220,9 @@
     call->is_finished = true;
     call->timer.reset();
     calls_.erase(call->number);
-    if (call->server_host == nullptr || isCut(call->from->zone(), call->server_host->zone())) {
+    const bool is_unreachable =
+        call->server_host == nullptr || call->is_silent || isBlocked(*call->from, *call->server_host);
+    if (is_unreachable) {
         return;
     }
     const auto delay = latency(call->from->zone(), call->server_host->zone());
@@ -219,12 +249,12 @@
     }
     std::vector<CallPtr> from_server;
     for (const auto& [number, call] : calls_) {
-        if (call->server_host == &host && call->from != &host) {
+        if (call->server_host == &host && call->from != &host && !call->is_silent) {
             from_server.push_back(call);
         }
     }
     for (const auto& call : from_server) {
-        if (!isCut(host.zone(), call->from->zone())) {
+        if (!isBlocked(host, *call->from)) {
             scheduleFinish(call, latency(host.zone(), call->from->zone()),
                            {AttemptOutcome::kUnknown, {}, std::string(kConnectionClosed)});
         }
--- a/sim/network.h
+++ b/sim/network.h
@@ -21,8 +21,15 @@
 struct NetworkOptions {
     Duration intra_zone = 100us;
     Duration inter_zone = 500us;
-    Duration client_link = 8ms;   ///< Between callers and the zone that they call.
-    Duration connect_time = 1ms;  ///< Added to the first request on a connection.
+    Duration client_link = 8ms;             ///< Between callers and the zone that they call.
+    Duration connect_time = 1ms;            ///< Added to the first request on a connection.
+    Duration max_idle_time = kMaxIdleTime;  ///< Idle connections are closed after this time.
+};
+
+/// One end of a connection: the host that has opened it, and the address of the server.
+struct ConnectionEnds {
+    const Host& client;
+    const std::string& address;
 };
 
 /// A server that is registered at an address.
@@ -46,6 +53,13 @@
     void setCut(const std::string& from, const std::string& to, bool is_cut);
     [[nodiscard]] bool isCut(const std::string& from, const std::string& to) const;
 
+    /// Cuts or restores one direction between two hosts.
+    void setCut(const Host& from, const Host& to, bool is_cut);
+
+    /// Makes the open connections that `affects` selects silent for good: nothing arrives on them any more, and no
+    /// reset shows it. New connections work.
+    void silenceConnections(const std::function<bool(const ConnectionEnds&)>& affects);
+
     /// Registers a server, in place of an earlier one at this address.
     void addServer(const std::string& address, Server server) {
         closing_servers_.erase(address);
@@ -63,7 +77,16 @@
     struct Call;
     class CallHandle;
     using CallPtr = std::shared_ptr<Call>;
+    /// A connection that waits for the next request of its client.
+    struct IdleConnection {
+        TimePoint since{};
+        bool is_silent = false;
+    };
 
+    /// @return true if messages between two hosts are lost.
+    [[nodiscard]] bool isBlocked(const Host& from, const Host& to) const {
+        return isCut(from.zone(), to.zone()) || cut_hosts_.contains({&from, &to});
+    }
     /// @return the latency of one message, drawn at random.
     [[nodiscard]] Duration latency(const std::string& from, const std::string& to);
     void deliver(const CallPtr& call);
@@ -77,9 +100,10 @@
     RandomSource& random_;
     NetworkOptions options_;
     std::map<std::string, Server> servers_;
-    std::set<std::pair<std::string, std::string>> cuts_;  ///< Pairs of zones, from and to.
-    /// By client and address: since when each connection is idle. The last one is used first.
-    std::map<std::pair<Host*, std::string>, std::vector<TimePoint>> idle_connections_;
+    std::set<std::pair<std::string, std::string>> cuts_;       ///< Pairs of zones, from and to.
+    std::set<std::pair<const Host*, const Host*>> cut_hosts_;  ///< From and to.
+    /// By client and address. The last one is used first.
+    std::map<std::pair<Host*, std::string>, std::vector<IdleConnection>> idle_connections_;
     std::set<std::string> closing_servers_;
     std::map<std::uint64_t, CallPtr> calls_;
     std::uint64_t last_call_ = 0;
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -302,6 +302,9 @@
     add(kHost, "/sign/", sign, false, 0);
     add(kInternalHost, "/inner/", internal, true, 1);
     table.mutable_routes(2)->set_is_open(true);
+    for (const auto& [prefix, service] : extra_routes_) {
+        add(kHost, prefix.c_str(), service, true, 2);
+    }
     for (const auto& tenant : tenants_) {
         *table.add_tenants() = tenant;
     }
@@ -311,6 +314,24 @@
     return table_version_;
 }
 
+void SidecarFleet::silenceNodeConnections() {
+    std::set<const Host*> nodes;
+    for (const auto& machine : machines_) {
+        nodes.insert(machine->host.get());
+    }
+    network_.silenceConnections([&](const ConnectionEnds& ends) { return nodes.contains(&ends.client); });
+}
+
+void SidecarFleet::setIsolated(std::size_t index, bool is_isolated) {
+    const auto& own = *machines_[index]->host;
+    for (const auto& machine : machines_) {
+        if (machine->host.get() != &own) {
+            network_.setCut(own, *machine->host, is_isolated);
+            network_.setCut(*machine->host, own, is_isolated);
+        }
+    }
+}
+
 void SidecarFleet::recordTenants() {
     for (auto& version : tenant_versions_) {
         version.superseded_at = std::min(version.superseded_at, queue_.now());
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -63,6 +63,12 @@
     std::string key;                  ///< API key of the caller; empty: none.
 };
 
+/// A route that tables have beside the usual ones.
+struct ExtraRoute {
+    std::string prefix;
+    std::string service;
+};
+
 /// A violated invariant.
 struct Violation {
     std::string invariant;  ///< Its name; same as in tests/soak/checks.cc if both check it.
@@ -117,6 +123,14 @@
     /// @return the version of the table.
     std::uint64_t putTable(const std::string& work, const std::string& sign, const std::string& internal);
 
+    /// Sets the further routes, for callers, of the tables that are put from now on.
+    void setExtraRoutes(std::vector<ExtraRoute> routes) { extra_routes_ = std::move(routes); }
+
+    /// Makes all open connections between nodes, and from nodes to their instances, silent for good.
+    void silenceNodeConnections();
+    /// Cuts a machine's node from the nodes of all other machines, or restores the links.
+    void setIsolated(std::size_t machine, bool is_isolated);
+
     /// Changes the tenants and puts a table with the routes of the last one.
     void changeTenants(const std::function<void(std::vector<wire::Tenant>*)>& change);
 
@@ -186,6 +200,7 @@
     std::vector<wire::Tenant> tenants_;
     std::vector<TenantVersion> tenant_versions_;  ///< Of all tables, in order.
     std::array<std::string, 3> routed_services_;  ///< Services of the last table's routes.
+    std::vector<ExtraRoute> extra_routes_;
     EventQueue queue_;
     adapters::SeededRandom random_;
     Network network_;
