Bound the age of the route table in all deployments

Symptom: up to 6 s after a change was acknowledged, nodes in touch answered 404 on its new routes and ran moved routes at the former service. Cause: the few nodes that watch the store learned of changes by their watches alone, and all other nodes from them. The bound on the table's age that keys need was active only with tenants. Change: TableRefresher is active everywhere. A peer's response with a newer version is followed by a request for the table, to that peer and no older one. An open watch that lags 0.5 s behind what its node knows is replaced. A watch may now take 20 s, so that a fleet makes about as many calls as before.

--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -196,6 +196,7 @@
     settings.knobs.relay.disabled = disabled_;
     settings.knobs.gossip.disabled = disabled_;
     settings.knobs.table_lease.disabled = disabled_;
+    settings.knobs.table_refresher.disabled = disabled_;
     settings.knobs.quota_client.disabled = disabled_;
     settings.knobs.quota_shards.disabled = disabled_;
     settings.knobs.table_lease.revocation = tenants_.empty() ? Duration::zero() : kRevocationBound;
--- a/src/base/disabled_mechanisms.h
+++ b/src/base/disabled_mechanisms.h
@@ -18,6 +18,7 @@
     bool crash_quarantine = false;          ///< Requests that ran during a crash do not become suspects.
     bool suspect_trial_gate = false;        ///< Suspects run however few instances are left.
     bool table_age_check = false;           ///< A table is accepted however old its last confirmation is.
+    bool table_refresh = false;             ///< The age of tables is not bounded: watches alone show changes.
     bool credential_removal = false;        ///< Keys and tenant headers of the caller reach the instance.
     bool quota_limit = false;               ///< Tokens are granted without limit.
     bool peer_name_check = false;           ///< Any response from a node's address counts as that node's.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -208,12 +208,6 @@
     send(name, reply, nullptr);
 }
 
-void Gossip::requestTableAge(std::size_t nodes) {
-    for (const auto& name : randomNodes(nodes)) {
-        send(name, makeMessage(), nullptr);
-    }
-}
-
 void Gossip::contact(const std::string& address, std::function<void(bool)> done) {
     sendTo(address, "", makeMessage(), knobs_.timeout, [this, done = std::move(done)](const wire::Gossip* response) {
         const bool is_other = response != nullptr && response->sender() != directory_.self().name();
@@ -230,6 +224,15 @@
          [done = std::move(done)](const wire::Gossip* response) { done(response != nullptr); });
 }
 
+void Gossip::probeRandom(Duration timeout, const std::function<void(bool)>& done) {
+    const auto names = randomNodes(1);
+    if (names.empty()) {
+        done(false);
+    } else {
+        probe(names.front(), timeout, done);
+    }
+}
+
 void Gossip::send(const std::string& name, const wire::Gossip& message, OnResponse done) {
     send(name, message, knobs_.timeout, std::move(done));
 }
@@ -272,6 +275,7 @@
         directory_.addAddress(response.sender(), "", response.sender_address());
         directory_.onReached(response.sender());
         mergeMessage(response, nullptr);
+        fetchIfNewer(response.sender(), response.table_version());
         if (response.has_table_age_us()) {
             const Duration age(static_cast<std::int64_t>(response.table_age_us()));
             lease_.onPeerResponse(sent, age, response.table_version(), table_.version());
@@ -351,7 +355,12 @@
 
 void Gossip::onTableVersionSeen(const std::string& name, std::uint64_t version) {
     directory_.onTableVersion(name, version);
-    if (table_.onVersionSeen(version)) {
+    fetchIfNewer(name, version);
+}
+
+void Gossip::fetchIfNewer(const std::string& name, std::uint64_t version) {
+    table_.onVersionSeen(version);
+    if (version > table_.version()) {
         exchangeWith(name);
     }
 }
@@ -381,9 +390,7 @@
         *reply.mutable_table() = table_.contents();
     }
     reply.set_is_digest_wanted(received.directory_hash() != 0 && received.directory_hash() != directory_.hash());
-    if (table_.onVersionSeen(received.table_version())) {
-        exchangeWith(received.sender());
-    }
+    fetchIfNewer(received.sender(), received.table_version());
     response.status = kHttpOk;
     response.body = reply.SerializeAsString();
     return response;
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -61,9 +61,6 @@
     HttpResponse handle(const HttpRequest& request);
     /// Spreads this node's own record, and exchanges directories with `initial_exchanges` random nodes.
     void announceSelf();
-    /// Sends an empty message to random nodes, whose responses report the age of their tables.
-    /// @param nodes number of nodes.
-    void requestTableAge(std::size_t nodes);
     /// Contacts whatever node listens at an address, and starts an exchange with it.
     /// @param done called once: true if a node other than this one has responded in time.
     void contact(const std::string& address, std::function<void(bool)> done);
@@ -77,9 +74,11 @@
     [[nodiscard]] std::uint64_t storeEra() const { return store_era_; }
     /// Records a node's table version, from gossip or call metadata, and requests the table if it is newer.
     void onTableVersionSeen(const std::string& name, std::uint64_t version);
-    /// Checks whether a node responds. An unknown name is ignored.
+    /// Checks whether a node responds; the response reports the age of its table. An unknown name is ignored.
     /// @param done called once, after the directory was updated: true if the node itself has responded in time.
     void probe(const std::string& name, Duration timeout, std::function<void(bool)> done);
+    /// Probes a random node that is not suspected. @param done called at once with false if there is none.
+    void probeRandom(Duration timeout, const std::function<void(bool)>& done);
 
 private:
     /// Receives the response; null if there is none, or another node has responded.
@@ -104,6 +103,8 @@
     void sendDigest(const std::string& name);
     void sendRequested(const std::string& name, const wire::Gossip& response);
     void adoptTable(const wire::RouteTable& table, const std::string& from);
+    /// Requests the table of a node if it is newer than the own one.
+    void fetchIfNewer(const std::string& name, std::uint64_t version);
     std::vector<std::string> randomNodes(std::size_t limit);
     void onExchangeEnded(const std::string& name);
 
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -208,10 +209,14 @@
     return found == by_zone_.end() ? none : found->second;
 }
 
-std::size_t NodeDirectory::zoneCount() const {
-    const auto known = static_cast<std::size_t>(
-        std::count_if(by_zone_.begin(), by_zone_.end(), [](const auto& entry) { return !entry.second.empty(); }));
-    return known + (othersInZone(self_.zone()).empty() ? 1 : 0);
+std::vector<std::string> NodeDirectory::zones() const {
+    std::set<std::string> names{self_.zone()};
+    for (const auto& [zone, nodes] : by_zone_) {
+        if (!nodes.empty()) {
+            names.insert(zone);
+        }
+    }
+    return {names.begin(), names.end()};
 }
 
 std::uint64_t NodeDirectory::rankOf(const std::string& name) {
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -58,8 +58,9 @@
     [[nodiscard]] const std::vector<const KnownNode*>& othersWithService(const std::string& service) const;
     /// The other nodes of a zone, by falling rank. Valid until the next change of the directory.
     [[nodiscard]] const std::vector<const KnownNode*>& othersInZone(const std::string& zone) const;
-    /// Number of zones with a known node, this node's zone included.
-    [[nodiscard]] std::size_t zoneCount() const;
+    /// The zones with a known node, this node's zone included, in order of their names.
+    [[nodiscard]] std::vector<std::string> zones() const;
+    [[nodiscard]] std::size_t zoneCount() const { return zones().size(); }
     /// The rank of a node: a hash of its name.
     [[nodiscard]] static std::uint64_t rankOf(const std::string& name);
     /// Last response or message from any other node; empty if there was none.
--- a/src/fleet/zone_ranking.cc
+++ b/src/fleet/zone_ranking.cc
@@ -18,6 +18,13 @@
     return found;
 }
 
+const KnownNode* ZoneRanking::first(const std::string& zone) const {
+    const auto& nodes = directory_.othersInZone(zone);
+    const auto found = std::find_if(nodes.begin(), nodes.end(), [](const auto* node) { return isActive(*node); });
+    const bool is_own_zone = zone == directory_.self().zone();
+    return found == nodes.end() || (is_own_zone && (*found)->rank < ownRank()) ? nullptr : *found;
+}
+
 const KnownNode* ZoneRanking::predecessor() const {
     const auto& nodes = directory_.othersInZone(directory_.self().zone());
     const auto own = ownRank();
--- a/src/fleet/zone_ranking.h
+++ b/src/fleet/zone_ranking.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 #include "src/fleet/node_directory.h"
@@ -20,6 +21,8 @@
     [[nodiscard]] std::vector<const KnownNode*> predecessors(std::size_t limit) const;
     /// The node that ranks directly above this one; null if this one is the first.
     [[nodiscard]] const KnownNode* predecessor() const;
+    /// The first node of any zone; null if that is this node, or if there is none.
+    [[nodiscard]] const KnownNode* first(const std::string& zone) const;
 
 private:
     [[nodiscard]] static bool isActive(const KnownNode& node) {
--- a/src/policy/route_table.cc
+++ b/src/policy/route_table.cc
@@ -79,9 +79,8 @@
            });
 }
 
-bool RouteTable::onVersionSeen(std::uint64_t version) {
+void RouteTable::onVersionSeen(std::uint64_t version) {
     newest_seen_ = std::max(newest_seen_, version);
-    return isStale();
 }
 
 std::size_t WeightedSplitter::next(const wire::Route& route) {
--- a/src/policy/route_table.h
+++ b/src/policy/route_table.h
@@ -48,8 +48,8 @@
     [[nodiscard]] const wire::Tenant* tenantNamed(const std::string& name) const;
     /// True if the service has a row of its own, or a route sends requests to it.
     [[nodiscard]] bool referencesService(const std::string& service) const;
-    /// Registers the version of a peer's table. @return true if the local table is older than any version seen.
-    bool onVersionSeen(std::uint64_t version);
+    /// Registers the version of a peer's table.
+    void onVersionSeen(std::uint64_t version);
     /// True while a newer version than the local one is known to exist.
     [[nodiscard]] bool isStale() const { return newest_seen_ > version(); }
     /// @return the newest known version, local or at a peer.
--- a/src/sidecar/table_refresher.cc
+++ b/src/sidecar/table_refresher.cc
@@ -5,12 +5,14 @@
 
 namespace dewcrank::sidecar {
 
-TableRefresher::TableRefresher(Clock& clock, RandomSource& random, fleet::Gossip& gossip,
-                               const policy::RouteTable& table, const policy::TableLease& lease,
-                               TableRefresherKnobs knobs, std::function<void()> read)
+TableRefresher::TableRefresher(Clock& clock, RandomSource& random, fleet::NodeDirectory& directory,
+                               fleet::Gossip& gossip, const policy::RouteTable& table, const policy::TableLease& lease,
+                               TableRefresherKnobs knobs, StartRead read)
     : clock_(clock),
       random_(random),
+      directory_(directory),
       gossip_(gossip),
+      ranking_(directory),
       table_(table),
       lease_(lease),
       knobs_(knobs),
@@ -18,33 +20,68 @@
       backoff_(knobs.min_backoff) {}
 
 void TableRefresher::start() {
-    if (lease_.isRequired()) {
-        drawReadAge();
-        check();
-    }
+    drawReadAge();
+    check();
 }
 
 void TableRefresher::drawReadAge() {
     const auto spread = static_cast<std::uint64_t>((knobs_.max_read_age - knobs_.min_read_age).count());
-    read_age_ = knobs_.min_read_age + Duration(static_cast<std::int64_t>(random_.below(spread)));
+    random_read_age_ = knobs_.min_read_age + Duration(static_cast<std::int64_t>(random_.below(spread)));
 }
 
 void TableRefresher::check() {
-    timer_ = clock_.startTimer(knobs_.check_interval, [this] { check(); });
-    if (!isActive()) {
+    const auto now = clock_.now();
+    const auto age = table_.isKnown() ? lease_.age(now).value_or(knobs_.max_read_age) : Duration::zero();
+    timer_ = clock_.startTimer(untilNextCheck(age), [this] { check(); });
+    if (knobs_.disabled.table_refresh && !decidesAboutKeys()) {
         return;
     }
-    const auto now = clock_.now();
-    const auto age = lease_.age(now);
-    if (!age || *age > knobs_.peer_request_age) {
-        gossip_.requestTableAge(knobs_.peers_per_request);
+    if (age <= pollAge()) {
+        unanswered_polls_ = 0;
+    } else if (now >= next_poll_) {
+        next_poll_ = now + knobs_.poll_interval;
+        poll();
+    }
+    if (!is_reading_ && now >= next_read_ && isReadDue(age)) {
+        is_reading_ = read_();
     }
-    if ((!age || *age > read_age_) && !is_reading_ && now >= next_read_) {
-        is_reading_ = true;
-        read_();
+}
+
+Duration TableRefresher::untilNextCheck(Duration age) const {
+    return std::max(knobs_.check_interval, std::min(pollAge(), knobs_.min_read_age) - age);
+}
+
+/// Readers poll the node that reads first, unless it is this one.
+void TableRefresher::poll() {
+    const auto done = [this](bool has_response) { onPolled(has_response); };
+    const auto* first = isReader() ? ranking_.first(directory_.zones().front()) : nullptr;
+    if (first != nullptr) {
+        gossip_.probe(first->record.name(), knobs_.poll_timeout, done);
+    } else {
+        gossip_.probeRandom(knobs_.poll_timeout, done);
     }
 }
 
+void TableRefresher::onPolled(bool has_response) {
+    unanswered_polls_ = has_response ? 0 : unanswered_polls_ + 1;
+}
+
+bool TableRefresher::isReader() const {
+    return ranking_.predecessors(knobs_.readers_per_zone).size() < knobs_.readers_per_zone;
+}
+
+bool TableRefresher::isReadDue(Duration age) const {
+    return (isReader() && age > readerAge()) || (isCutOff() && age > knobs_.poll_age) ||
+           (decidesAboutKeys() && age > random_read_age_);
+}
+
+Duration TableRefresher::readerAge() const {
+    const auto zones = directory_.zones();
+    const auto zone = std::lower_bound(zones.begin(), zones.end(), directory_.self().zone()) - zones.begin();
+    const auto rank = ranking_.predecessors(knobs_.readers_per_zone).size();
+    return knobs_.first_read_age + knobs_.rank_interval * rank + knobs_.rank_interval * zone / zones.size();
+}
+
 void TableRefresher::onReadEnded(bool has_response) {
     is_reading_ = false;
     drawReadAge();
--- a/src/sidecar/table_watcher.cc
+++ b/src/sidecar/table_watcher.cc
@@ -24,7 +24,9 @@
       lease_(lease),
       knobs_(knobs),
       backoff_(knobs.min_backoff),
-      refresher_(clock, random, gossip, table, lease, refresher, [this] { refresh(); }) {}
+      refresher_(clock, random, directory, gossip, table, lease, refresher, [this] { return refresh(); }) {
+    table_.signalAdopted().connect([this] { onTableAdopted(); });
+}
 
 void TableWatcher::start() {
     started_ = clock_.now();
@@ -114,10 +116,34 @@
     if (revision_ == 0 || failures_ > 0) {
         read();
     } else {
-        store_.watchTable(revision_, knobs_.watch_timeout,
-                          [this, sent = clock_.now()](std::optional<TableRead> response) {
+        watch();
+    }
+}
+
+void TableWatcher::watch() {
+    is_watch_open_ = true;
+    store_.watchTable(revision_, knobs_.watch_timeout,
+                      [this, id = ++watch_id_, sent = clock_.now()](std::optional<TableRead> response) {
+                          if (id == watch_id_) {
+                              is_watch_open_ = false;
                               onResponse(std::move(response), {kWatch, sent});
-                          });
+                          }
+                      });
+}
+
+void TableWatcher::onTableAdopted() {
+    if (is_watch_open_) {
+        lag_timer_ = clock_.startTimer(knobs_.max_watch_lag, [this, id = watch_id_] { replaceWatch(id); });
+    }
+}
+
+/// Starts the new watch at the same revision: it reports at once what the replaced one should have.
+void TableWatcher::replaceWatch(std::uint64_t watch_id) {
+    if (is_watch_open_ && watch_id == watch_id_) {
+        log_.write(Event("watch_replaced").with("version", table_.version()));
+        is_watch_open_ = false;
+        ++watch_id_;
+        startNextCall();
     }
 }
 
@@ -129,15 +155,28 @@
     });
 }
 
-void TableWatcher::refresh() {
+/// Starts no read while the watcher's own calls are reads: they show the same.
+bool TableWatcher::refresh() {
+    if (is_watching_ && !is_watch_open_) {
+        return false;
+    }
     store_.readTable([this, sent = clock_.now()](std::optional<TableRead> response) {
-        const EndedCall call{"refresh", sent};
-        const bool has_response = adopt(&response, call);
-        if (!has_response) {
-            logFailed("refresh", call);
-        }
-        refresher_.onReadEnded(has_response);
+        onRefreshed(std::move(response), {"refresh", sent});
     });
+    return true;
+}
+
+/// The result counts for the watcher as well: its open watch may hear nothing.
+void TableWatcher::onRefreshed(std::optional<TableRead> response, const EndedCall& call) {
+    const bool has_response = adopt(&response, call);
+    if (has_response) {
+        failures_ = 0;
+        directory_.setStoreUnreachable(false);
+    } else {
+        logFailed("refresh", call);
+        countFailure();
+    }
+    refresher_.onReadEnded(has_response);
 }
 
 /// Adopts the table of a read. A linearizable read also confirms the table's lease, unless the store returned an older
@@ -200,10 +239,14 @@
 
 void TableWatcher::onFailed(const EndedCall& call) {
     logFailed("table", call);
-    if (++failures_ >= knobs_.failures_to_hand_over && isCandidate()) {
+    countFailure();
+    retry_timer_ = clock_.startTimer(nextBackoff(), [this] { startNextCall(); });
+}
+
+void TableWatcher::countFailure() {
+    if (++failures_ >= knobs_.failures_to_hand_over && is_watching_ && isCandidate()) {
         directory_.setStoreUnreachable(true);
     }
-    retry_timer_ = clock_.startTimer(nextBackoff(), [this] { startNextCall(); });
 }
 
 Duration TableWatcher::nextBackoff() {
--- a/src/sidecar/table_watcher.h
+++ b/src/sidecar/table_watcher.h
@@ -42,15 +42,20 @@
     /// Exponential backoff between calls to the store.
     Duration min_backoff = 200ms;
     Duration max_backoff = 2s;
-    /// Timeout of one watch. Bounds the time until a watcher that is cut off from the store detects it.
-    Duration watch_timeout = 4s;
+    /// Timeout of one watch. Long, since the TableRefresher shows much earlier whether the store responds.
+    Duration watch_timeout = 20s;
+    /// A watch that has not reported a change so long after this node has learned of it is replaced: its connection may
+    /// have gone silent.
+    Duration max_watch_lag = 500ms;
 };
 
 /// Checks periodically whether this node should watch the store. While it should, the watcher reads the table and then
-/// watches it for changes, with at most one such call in flight. Owns the TableRefresher, whose reads are separate.
+/// watches it for changes, with at most one such call in flight. Watches make changes known at once; that they hear
+/// nothing proves nothing. Owns the TableRefresher, which bounds the age of the table by reads of its own.
 ///
 /// Log events:
 ///   store_followed   this node starts to watch the store
+///   watch_replaced   a watch has not reported a change that this node knows of
 ///   table_adopted    a newer table was read from the store (`from=store`), by a `call` that took `waited_ms`
 ///   store_failed     a read or watch (`step=table`), or a read of the refresher (`step=refresh`) has failed; `call`
 ///                    and `waited_ms` as above
@@ -63,6 +68,11 @@
     void start();
 
 private:
+    /// A call to the store that has ended.
+    struct EndedCall {
+        std::string_view name;  ///< "read", "watch" or "refresh".
+        TimePoint sent{};
+    };
     void check();
     void countPositiveChecks();
     [[nodiscard]] bool isDue() const;
@@ -73,17 +83,17 @@
     [[nodiscard]] bool isIsolated() const;
     void startNextCall();
     void read();
-    void refresh();
-    /// A call to the store that has ended.
-    struct EndedCall {
-        std::string_view name;  ///< "read", "watch" or "refresh".
-        TimePoint sent{};
-    };
+    void watch();
+    void onTableAdopted();
+    void replaceWatch(std::uint64_t watch_id);
+    bool refresh();
+    void onRefreshed(std::optional<TableRead> response, const EndedCall& call);
     void adoptTable(wire::RouteTable table, const EndedCall& call);
     void logFailed(std::string_view step, const EndedCall& call);
     bool adopt(std::optional<TableRead>* response, const EndedCall& call);
     void onResponse(std::optional<TableRead> response, const EndedCall& call);
     void onFailed(const EndedCall& call);
+    void countFailure();
     Duration nextBackoff();
 
     Clock& clock_;
@@ -105,8 +115,11 @@
     std::size_t nodes_at_check_ = 0;     ///< Other nodes in the directory at the last check.
     std::uint32_t positive_checks_ = 0;  ///< Consecutive checks at which this node should watch.
     Duration backoff_;
+    bool is_watch_open_ = false;
+    std::uint64_t watch_id_ = 0;  ///< Of the last watch; responses to earlier ones are ignored.
     TimerHandle check_timer_;
     TimerHandle retry_timer_;
+    TimerHandle lag_timer_;
     TableRefresher refresher_;
 };
 
--- a/tests/simulation/store_returns_test.cc
+++ b/tests/simulation/store_returns_test.cc
@@ -102,6 +102,7 @@
     std::size_t missed_without_era = 0;
     DisabledMechanisms disabled;
     disabled.store_era_check = true;
+    disabled.table_refresh = true;  // Or reads find what the watches have missed.
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         for (const auto age : kAges) {
             for (const int times : {1, 2}) {
--- a/tests/simulation/table_changes_test.cc
+++ b/tests/simulation/table_changes_test.cc
@@ -247,4 +247,17 @@
     checkFaults(300, seedCount(1));
 }
 
+/// Watches alone leave changes late, so that the checks above can fail.
+BOOST_AUTO_TEST_CASE(changes_are_late_without_a_bound_on_the_age_of_the_table) {
+    DisabledMechanisms disabled;
+    disabled.table_refresh = true;
+    for (const char* name : {"connections to the store go silent", "watchers are cut off from the store"}) {
+        const auto fault =
+            std::find_if(faults().begin(), faults().end(), [&](const auto& it) { return it.name == name; });
+        AuditedFleet it(9, 1, disabled);
+        play(it, *fault, 1);
+        BOOST_TEST(!it.audit.violations().empty(), name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
