Send idempotent messages again on a new connection when an idle one is silent

Symptom: after open connections had gone silent, each message between nodes and each read of the store on one of them waited for its whole time-out, 0.3 to 1 s, and a healthy node was suspected for it; the next message took the next silent connection. Cause: a time-out closed one connection and told nothing of the others to that peer; nothing told a silent connection from a silent peer. Change: ReconnectingSender, used for gossip (probes, rumors, exchanges), crash notices and reads of the store: a request on an idle connection without a response after 0.25 s, or half of its time-out, is sent again on a new one in the rest of its time; the first response counts. If only the new one responds, connections to that address that were idle before are closed, so that calls do not go out on them either. Requests of callers are not sent twice. Why it holds: only a request that had no response on a new connection counts against a peer; time-outs are as long as before, so a slow peer is not suspected earlier.

--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -26,8 +26,9 @@
     HeaderNames header_names;
 };
 
-/// Creates the platform-specific parts. @param http used for calls to the store; outlives the parts.
-using PlatformFactory = std::function<PlatformParts(HttpTransport& http, const adapters::SidecarSettings& settings)>;
+/// Creates the platform-specific parts. @param http used for calls to the store; outlives the parts, as `clock` does.
+using PlatformFactory =
+    std::function<PlatformParts(HttpTransport& http, Clock& clock, const adapters::SidecarSettings& settings)>;
 
 /// Owns the node and everything that connects it to the operating system.
 ///
--- a/sim/control_store.cc
+++ b/sim/control_store.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/ports/http_transport.h"
+#include "src/ports/reconnecting_sender.h"
 
 namespace dewcrank::sim {
 
@@ -81,17 +81,31 @@
     return connection;
 }
 
+SimControlStore::ConnectionPtr SimControlStore::replaceSilent(ConnectionPtr connection) {
+    if (connection->is_silent) {
+        idle_connections_.clear();
+        connection = takeConnection();
+        connection->is_replacement = true;
+    }
+    return connection;
+}
+
+Duration SimControlStore::responseTime(const ConnectionPtr& connection) const {
+    return model_.response_time_ + (connection->is_replacement ? kReconnectTime : Duration::zero());
+}
+
 void SimControlStore::schedule(Duration delay, std::function<void()> action) {
     model_.queue_.schedule(model_.queue_.now() + delay, &host_, std::move(action));
 }
 
 void SimControlStore::respond(const ConnectionPtr& connection, Duration timeout, std::function<void()> action) {
     const bool is_served = isServed(connection);
-    schedule(is_served ? model_.response_time_ : timeout,
+    schedule(is_served ? responseTime(connection) : timeout,
              [this, connection, is_served, era = model_.state_.era, action = std::move(action)] {
                  if (is_served) {
                      era_ = era;
                      connection->idle_since = model_.queue_.now();
+                     connection->is_replacement = false;
                      idle_connections_.push_back(connection);
                  }
                  action();
@@ -99,7 +113,7 @@
 }
 
 void SimControlStore::readTable(TableCallback callback) {
-    const auto connection = startCall();
+    const auto connection = startRead();
     std::optional<TableRead> read;
     if (isServed(connection)) {
         read.emplace();
@@ -154,7 +168,7 @@
 
 void SimControlStore::listNodes(Freshness freshness, NodesCallback callback) {
     const bool is_stale = freshness == Freshness::kMaybeStale;
-    const auto connection = is_stale ? takeConnection() : startCall();
+    const auto connection = is_stale ? replaceSilent(takeConnection()) : startRead();
     model_.stale_list_calls_ += is_stale ? 1 : 0;
     std::optional<std::vector<NodeAddress>> nodes;
     if (isServed(connection)) {
@@ -179,7 +193,7 @@
 }
 
 void SimControlStore::readLeases(LeasesCallback callback) {
-    const auto connection = startCall();
+    const auto connection = startRead();
     std::optional<std::vector<LeaseRecord>> leases;
     if (isServed(connection)) {
         leases.emplace();
--- a/sim/control_store.h
+++ b/sim/control_store.h
@@ -60,7 +60,8 @@
     /// A connection of a node to the store.
     struct Connection {
         TimePoint idle_since{};
-        bool is_silent = false;  ///< Nothing arrives on it any more.
+        bool is_silent = false;       ///< Nothing arrives on it any more.
+        bool is_replacement = false;  ///< It was opened for a read that an idle connection has lost.
     };
     using Nodes = std::map<std::string, NodeAddress>;
     /// All that a backup contains.
@@ -112,6 +113,11 @@
     }
     /// Starts a call: counts it. @return its connection.
     ConnectionPtr startCall();
+    /// @return the connection, or a new one if it is silent: a read is sent again then, as ReconnectingSender does.
+    ConnectionPtr replaceSilent(ConnectionPtr connection);
+    ConnectionPtr startRead() { return replaceSilent(startCall()); }
+    /// @return the time until the response to a call that began on this connection.
+    [[nodiscard]] Duration responseTime(const ConnectionPtr& connection) const;
     /// Runs `action` on this host after `delay`.
     void schedule(Duration delay, std::function<void()> action);
     /// Ends a call: runs `action` when the response arrives, after it has taken over the store's era, or else when the
--- a/sim/network.cc
+++ b/sim/network.cc
@@ -107,7 +107,7 @@
 // Calls --------------------------------------------------------------------
 
 AttemptHandle Network::call(Host& from, const std::string& address, HttpRequest request, Duration timeout,
-                            HttpTransport::Callback callback) {
+                            HttpTransport::Callback callback, ConnectionChoice choice) {
     auto call = std::make_shared<Call>();
     call->number = ++last_call_;
     call->from = &from;
@@ -137,7 +137,7 @@
     auto& idle = idle_connections_[{&from, address}];
     auto delay = latency(from.zone(), found->second.host->zone());
     std::erase_if(idle, [this](const auto& it) { return queue_.now() - it.since >= options_.max_idle_time; });
-    if (!idle.empty()) {
+    if (!idle.empty() && choice == ConnectionChoice::kIdleOrNew) {
         call->is_silent = idle.back().is_silent;
         idle.pop_back();
         call->used_idle_connection = true;
@@ -148,6 +148,18 @@
     return std::make_unique<CallHandle>(*this, call);
 }
 
+bool Network::hasIdleConnection(Host& from, const std::string& address) const {
+    const auto found = idle_connections_.find({&from, address});
+    return found != idle_connections_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [this](const auto& it) { return queue_.now() - it.since < options_.max_idle_time; });
+}
+
+void Network::closeIdleConnections(Host& from, const std::string& address, Duration min_idle_time) {
+    std::erase_if(idle_connections_[{&from, address}],
+                  [&](const auto& it) { return queue_.now() - it.since >= min_idle_time; });
+}
+
 /// The request arrives at the server's host.
 void Network::deliver(const CallPtr& call) {
     const auto& server = servers_.at(call->address);
--- a/sim/network.h
+++ b/sim/network.h
@@ -67,9 +67,12 @@
     }
     /// The server refuses new connections, and closes each open one after its next response.
     void stopAccepting(const std::string& address) { closing_servers_.insert(address); }
+    enum class ConnectionChoice { kIdleOrNew, kNew };
     /// Sends one HTTP request, with the guarantees of HttpTransport::send().
     AttemptHandle call(Host& from, const std::string& address, HttpRequest request, Duration timeout,
-                       HttpTransport::Callback callback);
+                       HttpTransport::Callback callback, ConnectionChoice choice = ConnectionChoice::kIdleOrNew);
+    [[nodiscard]] bool hasIdleConnection(Host& from, const std::string& address) const;
+    void closeIdleConnections(Host& from, const std::string& address, Duration min_idle_time);
     /// Closes all connections of a killed host: clients of its servers see a reset, its own calls are cancelled.
     void onHostKilled(Host& host);
 
@@ -119,6 +122,17 @@
     AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout, Callback callback) override {
         return network_.call(host_, address, std::move(request), timeout, std::move(callback));
     }
+    AttemptHandle sendOnNewConnection(const std::string& address, HttpRequest request, Duration timeout,
+                                      Callback callback) override {
+        return network_.call(host_, address, std::move(request), timeout, std::move(callback),
+                             Network::ConnectionChoice::kNew);
+    }
+    [[nodiscard]] bool hasIdleConnection(const std::string& address) const override {
+        return network_.hasIdleConnection(host_, address);
+    }
+    void closeIdleConnections(const std::string& address, Duration min_idle_time) override {
+        network_.closeIdleConnections(host_, address, min_idle_time);
+    }
 
 private:
     Network& network_;
--- a/src/adapters/client_connection.h
+++ b/src/adapters/client_connection.h
@@ -41,7 +41,8 @@
     /// Records the start of an idle period.
     void markIdle(TimePoint now) { idle_since_ = now; }
     /// @return false if the connection was idle for too long to be reused: the peer may be closing it.
-    [[nodiscard]] bool isWithinIdleTime(TimePoint now) const { return now - idle_since_ < max_idle_time_; }
+    [[nodiscard]] bool isWithinIdleTime(TimePoint now) const { return idleTime(now) < max_idle_time_; }
+    [[nodiscard]] Duration idleTime(TimePoint now) const { return now - idle_since_; }
 
 private:
     void onConnected() override;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -16,10 +16,10 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
-    void start(const std::string& address, Duration timeout) {
+    void start(std::unique_ptr<ClientConnection> connection, Duration timeout) {
         timeout_ = timeout;
-        connection_ = client_.takeConnection(address);
-        if (connection_ == nullptr || !isAllowedMethod(request_.method)) {
+        connection_ = std::move(connection);
+        if (!isAllowedMethod(request_.method)) {
             releaseConnection();
             finishLater({AttemptOutcome::kNotSent, {}, "bad-address-or-method"});
             return;
@@ -111,10 +111,31 @@
 
 AttemptHandle HttpClient::send(const std::string& address, HttpRequest request, Duration timeout, Callback callback) {
     auto exchange = std::make_unique<Exchange>(*this, std::move(request), std::move(callback));
-    exchange->start(address, timeout);
+    exchange->start(takeConnection(address), timeout);
     return exchange;
 }
 
+AttemptHandle HttpClient::sendOnNewConnection(const std::string& address, HttpRequest request, Duration timeout,
+                                              Callback callback) {
+    auto exchange = std::make_unique<Exchange>(*this, std::move(request), std::move(callback));
+    exchange->start(std::make_unique<ClientConnection>(*this, address), timeout);
+    return exchange;
+}
+
+bool HttpClient::hasIdleConnection(const std::string& address) const {
+    const auto found = idle_.find(address);
+    return found != idle_.end() && std::any_of(found->second.begin(), found->second.end(),
+                                               [this](const auto& it) { return it->isWithinIdleTime(loop_.now()); });
+}
+
+void HttpClient::closeIdleConnections(const std::string& address, Duration min_idle_time) {
+    auto& idle = idle_[address];
+    const auto is_recent = [&](const auto& it) { return it->idleTime(loop_.now()) < min_idle_time; };
+    const auto old = std::stable_partition(idle.begin(), idle.end(), is_recent);
+    std::for_each(old, idle.end(), [this](auto& it) { destroyLater(std::move(it)); });
+    idle.erase(old, idle.end());
+}
+
 /// Reuses the most recently used connection first, so that surplus connections reach their idle limit.
 std::unique_ptr<ClientConnection> HttpClient::takeConnection(const std::string& address) {
     auto& idle = idle_[address];
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -40,6 +40,10 @@
 
     [[nodiscard]] AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout,
                                      Callback callback) override;
+    [[nodiscard]] AttemptHandle sendOnNewConnection(const std::string& address, HttpRequest request, Duration timeout,
+                                                    Callback callback) override;
+    [[nodiscard]] bool hasIdleConnection(const std::string& address) const override;
+    void closeIdleConnections(const std::string& address, Duration min_idle_time) override;
     /// Number of connections that exist now, idle ones included.
     [[nodiscard]] std::size_t openConnections() const { return open_connections_; }
     /// Number of connections opened since construction, failed attempts included.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -23,7 +23,7 @@
     : clock_(clock),
       random_(random),
       log_(log),
-      nodes_(nodes),
+      nodes_(clock, nodes),
       directory_(directory),
       table_(table),
       lease_(lease),
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -20,6 +20,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
+#include "src/ports/reconnecting_sender.h"
 
 namespace dewcrank::fleet {
 
@@ -111,7 +112,7 @@
     Clock& clock_;
     RandomSource& random_;
     EventLog& log_;
-    HttpTransport& nodes_;
+    ReconnectingSender nodes_;  ///< All messages are idempotent.
     NodeDirectory& directory_;
     policy::RouteTable& table_;
     policy::TableLease& lease_;
--- a/src/ports/http_transport.h
+++ b/src/ports/http_transport.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "src/base/http_message.h"
 #include "src/base/time.h"
@@ -72,6 +73,18 @@
     /// @return the handle that keeps the attempt running.
     [[nodiscard]] virtual AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout,
                                              Callback callback) = 0;
+
+    // Connections that are kept between requests. A transport that keeps none needs none of these.
+
+    /// As send(), on a connection that has carried no request before.
+    [[nodiscard]] virtual AttemptHandle sendOnNewConnection(const std::string& address, HttpRequest request,
+                                                            Duration timeout, Callback callback) {
+        return send(address, std::move(request), timeout, std::move(callback));
+    }
+    /// @return true if send() would use an idle connection.
+    [[nodiscard]] virtual bool hasIdleConnection(const std::string&) const { return false; }
+    /// Closes the connections to an address that have been idle for at least this time.
+    virtual void closeIdleConnections(const std::string&, Duration) {}
 };
 
 }  // namespace dewcrank
--- a/src/quarantine/exchange.cc
+++ b/src/quarantine/exchange.cc
@@ -12,7 +12,7 @@
     : clock_(clock),
       random_(random),
       log_(log),
-      nodes_(nodes),
+      nodes_(clock, nodes),
       directory_(directory),
       quarantine_(quarantine),
       service_(std::move(service)),
--- a/src/quarantine/exchange.h
+++ b/src/quarantine/exchange.h
@@ -19,6 +19,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
+#include "src/ports/reconnecting_sender.h"
 #include "src/quarantine/quarantine.h"
 #include "src/quarantine/run_tracker.h"
 
@@ -65,7 +66,7 @@
     Clock& clock_;
     RandomSource& random_;
     EventLog& log_;
-    HttpTransport& nodes_;
+    ReconnectingSender nodes_;  ///< A notice may arrive twice.
     fleet::NodeDirectory& directory_;
     Quarantine& quarantine_;
     std::string service_;
--- a/tests/contract/http_client_test.cc
+++ b/tests/contract/http_client_test.cc
@@ -1,8 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <vector>
 
 #include "src/adapters/http_client.h"
+#include "src/ports/reconnecting_sender.h"
 #include "tests/contract/loop_fixture.h"
 #include "tests/contract/raw_server.h"
 
@@ -11,6 +13,12 @@
 namespace {
 
 struct ClientFixture : tests::LoopFixture {
+    static HttpRequest get() {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/x";
+        return request;
+    }
     AttemptResult call(const std::string& address, Duration timeout = 5s, const std::string& method = "GET") {
         std::optional<AttemptResult> result;
         HttpRequest request;
@@ -134,4 +142,27 @@
     BOOST_TEST(client.openConnections() == 0U);
 }
 
+/// Guards against one timeout for each idle connection after all of them have gone silent.
+BOOST_AUTO_TEST_CASE(silent_connections_cost_an_idempotent_request_no_timeout) {
+    tests::RawServer server(loop, kComplete, false);
+    constexpr int kConnections = 3;
+    int responses = 0;
+    std::vector<AttemptHandle> attempts;
+    const auto on_response = [&](const AttemptResult& result) {
+        responses += result.outcome == AttemptOutcome::kResponded ? 1 : 0;
+    };
+    for (int count = 0; count < kConnections; ++count) {
+        attempts.push_back(client.send(server.address(), get(), 5s, on_response));
+    }
+    runUntil([&] { return responses == kConnections; });
+    server.silenceConnections();
+    ReconnectingSender sender(loop, client);
+    const auto attempt = sender.send(server.address(), get(), 5s, on_response);
+    runUntil([&] { return responses == kConnections + 1; });
+    BOOST_TEST(server.connections() == kConnections + 1);
+    BOOST_TEST(call(server.address()).response.body == "hello");
+    BOOST_TEST(server.connections() == kConnections + 1);
+    BOOST_TEST(client.openConnections() <= 2U);  // The one that works, and the one whose request is lost.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/contract/raw_server.h
+++ b/tests/contract/raw_server.h
@@ -41,6 +41,12 @@
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] int requests() const { return requests_; }
     [[nodiscard]] int connections() const { return connections_; }
+    /// Ignores all further bytes on the connections that are open now, which stay open.
+    void silenceConnections() {
+        for (auto* stream : streams_) {
+            bufferevent_disable(stream, EV_READ);
+        }
+    }
     void setResponse(std::string response, bool close_after_response) {
         response_ = std::move(response);
         close_after_response_ = close_after_response;
--- a/tests/contract/store_contract_test.cc
+++ b/tests/contract/store_contract_test.cc
@@ -59,7 +59,7 @@
         runOrReport(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(address, server.listen({"127.0.0.1", 0}));
-                client_ = std::make_unique<platform::ObjectStore>(http, address.text());
+                client_ = std::make_unique<platform::ObjectStore>(http, loop, address.text());
                 config = std::make_unique<platform::ConfigStore>(http, address.text());
                 return {};
             },
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -10,6 +10,7 @@
 #include "platform/config_document.h"
 #include "platform/instance_requests.h"
 #include "platform/object_store.h"
+#include "tests/support/fakes.h"
 
 using namespace dewcrank;
 
@@ -55,8 +56,9 @@
 };
 
 struct StoreFixture {
+    tests::VirtualTime time;
     ScriptedHttp http;
-    platform::ObjectStore store{http, "10.0.0.1:1"};
+    platform::ObjectStore store{http, time.clock, "10.0.0.1:1"};
 };
 
 class RecordingListener : public InstanceListener {
