Keep calls off silent connections to nodes and instances

Symptom: after the open connections between nodes and to instances had gone silent, most calls of the first second and some for two more were lost, each waiting for its deadline on one of the pooled silent connections. Change: ReconnectingSender::sendCall. After 0.25 s without a response a request of which the peer's host has acknowledged no byte (SIOCOUTQ) shows that its connection is silent: idle connections as old are closed, and a request that may run twice is sent again on a new one. One that may not is never sent twice; it goes out on connections that carried a response in the last second, else on a new one. A peer that has acknowledged the request is never hurried, so nothing changes for slow instances. Readers of the store now poll at each check in the 0.1 s before their read, and not earlier, so that fewer of them read. Why it holds: a second after a silence every idle connection that an unsafe call may use has carried a response since. Not shown: SIOCOUTQ on a real silent network; loopback acknowledges everything.

--- a/sim/network.cc
+++ b/sim/network.cc
@@ -51,6 +51,9 @@
             network_.cancel(call_);
         }
     }
+    [[nodiscard]] bool isUnacknowledged() const override {
+        return call_->used_idle_connection && !call_->is_connected && !call_->is_finished;
+    }
     CallHandle(const CallHandle&) = delete;
     CallHandle& operator=(const CallHandle&) = delete;
 
@@ -148,11 +151,13 @@
     return std::make_unique<CallHandle>(*this, call);
 }
 
-bool Network::hasIdleConnection(Host& from, const std::string& address) const {
+std::optional<Duration> Network::idleTime(Host& from, const std::string& address) const {
     const auto found = idle_connections_.find({&from, address});
-    return found != idle_connections_.end() &&
-           std::any_of(found->second.begin(), found->second.end(),
-                       [this](const auto& it) { return queue_.now() - it.since < options_.max_idle_time; });
+    if (found == idle_connections_.end() || found->second.empty()) {
+        return std::nullopt;
+    }
+    const auto idle_time = queue_.now() - found->second.back().since;
+    return idle_time < options_.max_idle_time ? std::optional(idle_time) : std::nullopt;
 }
 
 void Network::closeIdleConnections(Host& from, const std::string& address, Duration min_idle_time) {
--- a/sim/network.h
+++ b/sim/network.h
@@ -71,7 +71,7 @@
     /// Sends one HTTP request, with the guarantees of HttpTransport::send().
     AttemptHandle call(Host& from, const std::string& address, HttpRequest request, Duration timeout,
                        HttpTransport::Callback callback, ConnectionChoice choice = ConnectionChoice::kIdleOrNew);
-    [[nodiscard]] bool hasIdleConnection(Host& from, const std::string& address) const;
+    [[nodiscard]] std::optional<Duration> idleTime(Host& from, const std::string& address) const;
     void closeIdleConnections(Host& from, const std::string& address, Duration min_idle_time);
     /// Closes all connections of a killed host: clients of its servers see a reset, its own calls are cancelled.
     void onHostKilled(Host& host);
@@ -127,8 +127,8 @@
         return network_.call(host_, address, std::move(request), timeout, std::move(callback),
                              Network::ConnectionChoice::kNew);
     }
-    [[nodiscard]] bool hasIdleConnection(const std::string& address) const override {
-        return network_.hasIdleConnection(host_, address);
+    [[nodiscard]] std::optional<Duration> idleTime(const std::string& address) const override {
+        return network_.idleTime(host_, address);
     }
     void closeIdleConnections(const std::string& address, Duration min_idle_time) override {
         network_.closeIdleConnections(host_, address, min_idle_time);
--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -65,6 +65,7 @@
     const auto size = has_body ? static_cast<long long>(request.body.size()) : -1;
     const auto head =
         writeHead(request.method + " " + request.path + " HTTP/1.1", request.headers, {size, false, address_});
+    request_bytes_ = head.size() + request.body.size();
     stream_.write(head, request.body);
 }
 
--- a/src/adapters/client_connection.h
+++ b/src/adapters/client_connection.h
@@ -36,6 +36,8 @@
     void setListener(Listener* listener) { listener_ = listener; }
     /// Sends one request and prepares the parser for its response.
     void write(const HttpRequest& request);
+    /// @return true if the peer's host is known to have acknowledged no byte of the request written last.
+    [[nodiscard]] bool isRequestUnacknowledged() const { return stream_.unacknowledgedBytes() >= request_bytes_; }
     /// Valid after onResponse. @return true if another request may be sent on this connection.
     [[nodiscard]] bool isReusable() const;
     /// Records the start of an idle period.
@@ -65,7 +67,8 @@
     bool keep_alive_ = false;
     bool has_unexpected_data_ = false;  ///< Received bytes that belong to no open request.
     bool expects_no_body_ = false;
-    std::string expected_echo_;  ///< Value of the echoed header in the current request; empty: not checked.
+    std::size_t request_bytes_ = 0;  ///< Size of the request written last.
+    std::string expected_echo_;      ///< Value of the echoed header in the current request; empty: not checked.
     TimePoint idle_since_{};
     Duration max_idle_time_{};  ///< From the options, or shorter if the peer announced so.
 };
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -38,6 +38,10 @@
         timer_ = client_.loop_.startTimer(std::min(timeout, kConnectTimeout), [this] { onTimeout(); });
     }
 
+    [[nodiscard]] bool isUnacknowledged() const override {
+        return is_sent_ && connection_ != nullptr && connection_->isRequestUnacknowledged();
+    }
+
 private:
     void onConnected() override { sendRequest(); }
 
@@ -122,10 +126,16 @@
     return exchange;
 }
 
-bool HttpClient::hasIdleConnection(const std::string& address) const {
+std::optional<Duration> HttpClient::idleTime(const std::string& address) const {
     const auto found = idle_.find(address);
-    return found != idle_.end() && std::any_of(found->second.begin(), found->second.end(),
-                                               [this](const auto& it) { return it->isWithinIdleTime(loop_.now()); });
+    if (found == idle_.end()) {
+        return std::nullopt;
+    }
+    const auto& idle = found->second;
+    const auto now = loop_.now();
+    const auto next =
+        std::find_if(idle.rbegin(), idle.rend(), [now](const auto& it) { return it->isWithinIdleTime(now); });
+    return next == idle.rend() ? std::nullopt : std::optional((*next)->idleTime(now));
 }
 
 void HttpClient::closeIdleConnections(const std::string& address, Duration min_idle_time) {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -42,7 +42,7 @@
                                      Callback callback) override;
     [[nodiscard]] AttemptHandle sendOnNewConnection(const std::string& address, HttpRequest request, Duration timeout,
                                                     Callback callback) override;
-    [[nodiscard]] bool hasIdleConnection(const std::string& address) const override;
+    [[nodiscard]] std::optional<Duration> idleTime(const std::string& address) const override;
     void closeIdleConnections(const std::string& address, Duration min_idle_time) override;
     /// Number of connections that exist now, idle ones included.
     [[nodiscard]] std::size_t openConnections() const { return open_connections_; }
--- a/src/adapters/socket_stream.cc
+++ b/src/adapters/socket_stream.cc
@@ -1,7 +1,9 @@
 #include "src/adapters/socket_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -185,6 +187,12 @@
     }
 }
 
+std::size_t SocketStream::unacknowledgedBytes() const {
+    int queued = 0;
+    const bool is_known = descriptor_ >= 0 && ioctl(descriptor_, SIOCOUTQ, &queued) == 0;
+    return is_known ? static_cast<std::size_t>(queued) + unsentBytes() : 0;
+}
+
 void SocketStream::closeWriting() {
     if (descriptor_ >= 0) {
         shutdown(descriptor_, SHUT_WR);
--- a/src/adapters/socket_stream.h
+++ b/src/adapters/socket_stream.h
@@ -71,6 +71,8 @@
     void stop();
     /// Received bytes that the listener has not consumed.
     [[nodiscard]] std::size_t unconsumedBytes() const { return input_.size(); }
+    /// Output that the peer's host has not acknowledged; 0 if that is not known.
+    [[nodiscard]] std::size_t unacknowledgedBytes() const;
     /// Buffered output that the socket has not accepted.
     [[nodiscard]] std::size_t unsentBytes() const { return output_.size() - sent_; }
 
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -117,9 +117,9 @@
     services_.failure_detector.onCallSent(relay_);
     sent_ = services_.clock.now();
     const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
-    attempt_ =
-        services_.nodes.send(target.address, relay::toHttp(std::move(request), self, services_.clock.now()),
-                             remaining() + 1s, [this](AttemptResult result) { onRelayResponse(std::move(result)); });
+    attempt_ = services_.nodes.sendCall(target.address, relay::toHttp(std::move(request), self, services_.clock.now()),
+                                        remaining() + 1s, plan_.route->is_repeatable(),
+                                        [this](AttemptResult result) { onRelayResponse(std::move(result)); });
 }
 
 void EntryCall::onRelayResponse(AttemptResult result) {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -20,6 +20,7 @@
 #include "src/ports/event_log.h"
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
+#include "src/ports/reconnecting_sender.h"
 #include "src/relay/relay_service.h"
 #include "src/relay/relay_wire.h"
 
@@ -60,7 +61,7 @@
     Clock& clock;
     RandomSource& random;
     EventLog& log;
-    HttpTransport& nodes;
+    ReconnectingSender nodes;
     RelaySelector& selector;
     relay::RelayService& own_relay;
     fleet::NodeDirectory& directory;
--- a/src/ports/http_transport.h
+++ b/src/ports/http_transport.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,6 +51,8 @@
 class Attempt {
 public:
     virtual ~Attempt() = default;
+    /// @return true if the peer's host is known to have confirmed no byte of the request, though it was sent.
+    [[nodiscard]] virtual bool isUnacknowledged() const { return false; }
 };
 using AttemptHandle = std::unique_ptr<Attempt>;
 
@@ -81,8 +84,8 @@
                                                             Duration timeout, Callback callback) {
         return send(address, std::move(request), timeout, std::move(callback));
     }
-    /// @return true if send() would use an idle connection.
-    [[nodiscard]] virtual bool hasIdleConnection(const std::string&) const { return false; }
+    /// @return for how long the connection that send() would use has been idle; nothing if it would open a new one.
+    [[nodiscard]] virtual std::optional<Duration> idleTime(const std::string&) const { return std::nullopt; }
     /// Closes the connections to an address that have been idle for at least this time.
     virtual void closeIdleConnections(const std::string&, Duration) {}
 };
--- a/src/ports/reconnecting_sender.h
+++ b/src/ports/reconnecting_sender.h
@@ -1,5 +1,5 @@
 /// @file
-/// Sends idempotent requests so that a connection that has gone silent costs less than a timeout.
+/// Sends requests so that a connection that has gone silent costs less than a timeout.
 #pragma once
 
 #include <string>
@@ -9,25 +9,36 @@
 
 namespace dewcrank {
 
-/// If a request on an idle connection has no response for this long, or for half of its timeout, it is sent again on a
-/// new connection.
+/// If a request on an idle connection has no response for this long, or for half of its timeout, its connection may be
+/// silent.
 inline constexpr Duration kReconnectTime = 250ms;
+/// A call that must not run twice is sent on a new connection instead of one that has been idle for longer, since
+/// nothing has shown meanwhile that the idle one still works.
+inline constexpr Duration kMaxUnverifiedTime = 1s;
 
 /// An open connection may lose everything that is sent on it, without a reset, while new connections to the same
 /// address work. A request that was sent on an idle connection and gets no response soon is sent a second time, on a
-/// new connection; the first response counts. If only the new connection responds, the connections that have been idle
-/// since before are closed, as they may be silent too.
+/// new connection; the first response counts. Once the idle connection is known to be silent, the connections that have
+/// been idle since before are closed, as they may be silent too.
 class ReconnectingSender {
 public:
     /// Both must outlive the sender and its attempts.
     ReconnectingSender(Clock& clock, HttpTransport& transport) : clock_(clock), transport_(transport) {}
 
-    /// As HttpTransport::send(). The request may be received twice.
+    /// Sends a request whose response is due at once, as HttpTransport::send(). It may be received twice.
     [[nodiscard]] AttemptHandle send(const std::string& address, HttpRequest request, Duration timeout,
                                      HttpTransport::Callback callback);
+    /// Sends a request whose response may take any time. Only a request of which the peer has acknowledged nothing is
+    /// sent again, and only if it may run twice. Other requests use only connections that have worked recently.
+    [[nodiscard]] AttemptHandle sendCall(const std::string& address, HttpRequest request, Duration timeout,
+                                         bool may_run_twice, HttpTransport::Callback callback);
 
 private:
     class Attempt;
+    /// When a request is sent again.
+    enum class Resend { kWithoutResponse, kUnacknowledged, kNever };
+    [[nodiscard]] AttemptHandle start(const std::string& address, HttpRequest request, Duration timeout, Resend resend,
+                                      HttpTransport::Callback callback);
 
     Clock& clock_;
     HttpTransport& transport_;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -19,7 +19,7 @@
                            InternalRouteDetector::HostShare host_share, RelayKnobs knobs)
     : clock_(clock),
       log_(log),
-      instances_(instances),
+      instances_(clock, instances),
       instance_(instance),
       quarantine_(quarantine),
       names_(names),
@@ -235,10 +235,11 @@
     const auto time_left = deadline - call.sent_at;
     ++(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
     runs_.onSent(id, {call.request_id, call.request.route, call.incarnation, call.fingerprint, call.is_trial});
+    const bool may_run_twice = call.request.retry_policy == RetryPolicy::kAlways;
     request.headers.set(names_.expected_instance, call.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(time_left)));
-    call.attempt = instances_.send(instance_address_, std::move(request), time_left,
-                                   [this, id](AttemptResult result) { onAttemptEnded(id, std::move(result)); });
+    call.attempt = instances_.sendCall(instance_address_, std::move(request), time_left, may_run_twice,
+                                       [this, id](AttemptResult result) { onAttemptEnded(id, std::move(result)); });
 }
 
 /// A lost connection may mean that the instance crashed: the result is held back until the crash detector has decided.
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -24,6 +24,7 @@
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
 #include "src/ports/http_transport.h"
+#include "src/ports/reconnecting_sender.h"
 #include "src/quarantine/quarantine.h"
 #include "src/quarantine/run_tracker.h"
 #include "src/relay/crash_detector.h"
@@ -165,7 +166,7 @@
 
     Clock& clock_;
     EventLog& log_;
-    HttpTransport& instances_;
+    ReconnectingSender instances_;
     instance::LocalInstance& instance_;
     quarantine::Quarantine& quarantine_;
     const HeaderNames& names_;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -62,7 +62,7 @@
       entry_services_{ports.clock,
                       ports.random,
                       ports.log,
-                      ports.nodes,
+                      ReconnectingSender(ports.clock, ports.nodes),
                       selector_,
                       relay_,
                       directory_,
--- a/src/sidecar/table_refresher.cc
+++ b/src/sidecar/table_refresher.cc
@@ -39,7 +39,7 @@
     if (age <= pollAge()) {
         unanswered_polls_ = 0;
     } else if (now >= next_poll_) {
-        next_poll_ = now + knobs_.poll_interval;
+        next_poll_ = now + (isReader() ? Duration::zero() : knobs_.poll_interval);
         poll();
     }
     if (!is_reading_ && now >= next_read_ && isReadDue(age)) {
@@ -66,6 +66,10 @@
     unanswered_polls_ = has_response ? 0 : unanswered_polls_ + 1;
 }
 
+Duration TableRefresher::pollAge() const {
+    return isReader() ? readerAge() - knobs_.reader_poll_lead : knobs_.poll_age;
+}
+
 bool TableRefresher::isReader() const {
     return ranking_.predecessors(knobs_.readers_per_zone).size() < knobs_.readers_per_zone;
 }
--- a/src/sidecar/table_refresher.h
+++ b/src/sidecar/table_refresher.h
@@ -30,9 +30,9 @@
     Duration rank_interval = 300ms;
     /// Above this age a node polls a peer at each check; responses to other calls report their ages as well.
     Duration poll_age = 1100ms;
-    /// Readers poll earlier, as they would read the store else.
-    Duration reader_poll_age = 900ms;
-    Duration poll_interval = 100ms;  ///< At least so long between two polls.
+    /// Readers poll at each check from this long before they would read the store.
+    Duration reader_poll_lead = 100ms;
+    Duration poll_interval = 100ms;  ///< Between two polls of other nodes, at least.
     Duration poll_timeout = 300ms;
     /// A node reads the store itself after so many polls in a row without a response: other nodes can't tell it of
     /// changes.
@@ -72,7 +72,8 @@
     void drawReadAge();
     [[nodiscard]] bool isReader() const;
     [[nodiscard]] bool decidesAboutKeys() const { return lease_.isRequired() && table_.hasTenants(); }
-    [[nodiscard]] Duration pollAge() const { return isReader() ? knobs_.reader_poll_age : knobs_.poll_age; }
+    /// @return the age above which this node polls.
+    [[nodiscard]] Duration pollAge() const;
     [[nodiscard]] bool isCutOff() const { return unanswered_polls_ >= knobs_.unanswered_polls; }
     /// @return true if this node should read the store at this age of the table.
     [[nodiscard]] bool isReadDue(Duration age) const;
--- a/tests/unit/ports/reconnecting_sender_test.cc
+++ b/tests/unit/ports/reconnecting_sender_test.cc
@@ -10,23 +10,34 @@
 
 namespace {
 
-/// Records requests; a test completes them.
+/// A request that a test completes.
+class TestedAttempt : public Attempt {
+public:
+    explicit TestedAttempt(const bool& is_unacknowledged) : is_unacknowledged_(is_unacknowledged) {}
+    [[nodiscard]] bool isUnacknowledged() const override { return is_unacknowledged_; }
+
+private:
+    const bool& is_unacknowledged_;
+};
+
+/// Records requests.
 class TestedTransport : public HttpTransport {
 public:
     AttemptHandle send(const std::string&, HttpRequest, Duration timeout, Callback callback) override {
         on_idle.push_back(std::move(callback));
         timeouts.push_back(timeout);
-        return std::make_unique<Attempt>();
+        return std::make_unique<TestedAttempt>(is_unacknowledged);
     }
     AttemptHandle sendOnNewConnection(const std::string&, HttpRequest, Duration timeout, Callback callback) override {
         on_new.push_back(std::move(callback));
         timeouts.push_back(timeout);
         return std::make_unique<Attempt>();
     }
-    bool hasIdleConnection(const std::string&) const override { return has_idle; }
+    [[nodiscard]] std::optional<Duration> idleTime(const std::string&) const override { return idle_time; }
     void closeIdleConnections(const std::string&, Duration min_idle_time) override { closed = min_idle_time; }
 
-    bool has_idle = true;
+    std::optional<Duration> idle_time = 100ms;
+    bool is_unacknowledged = false;
     std::vector<Callback> on_idle;
     std::vector<Callback> on_new;
     std::vector<Duration> timeouts;
@@ -49,6 +60,13 @@
             sender.send("1.2.3.4:5", HttpRequest{}, timeout, [this](AttemptResult it) { result = std::move(it); });
     }
 
+    void sendCall(bool may_run_twice, std::size_t body = 0) {
+        HttpRequest request;
+        request.body.assign(body, 'x');
+        attempt = sender.sendCall("1.2.3.4:5", std::move(request), 5s, may_run_twice,
+                                  [this](AttemptResult it) { result = std::move(it); });
+    }
+
     tests::VirtualTime time;
     TestedTransport transport;
     ReconnectingSender sender{time.clock, transport};
@@ -108,7 +126,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_new_connection_is_not_replaced) {
-    transport.has_idle = false;
+    transport.idle_time.reset();
     send(1s);
     time.advance(900ms);
     BOOST_TEST(transport.on_new.empty());
@@ -116,4 +134,39 @@
     BOOST_TEST((result->outcome == AttemptOutcome::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(a_call_that_the_peer_has_acknowledged_is_not_sent_again) {
+    sendCall(true);
+    time.advance(4s);
+    BOOST_TEST(transport.on_new.empty());
+    BOOST_TEST(!transport.closed.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_on_a_silent_connection_is_sent_again_only_if_it_may_run_twice) {
+    transport.is_unacknowledged = true;
+    for (const bool may_run_twice : {true, false}) {
+        transport.on_new.clear();
+        transport.closed.reset();
+        sendCall(may_run_twice);
+        time.advance(kReconnectTime);
+        BOOST_TEST(transport.on_new.size() == (may_run_twice ? 1U : 0U));
+        BOOST_TEST((transport.closed == kReconnectTime));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_must_not_run_twice_avoids_connections_that_were_idle_for_long) {
+    transport.idle_time = kMaxUnverifiedTime + 1ms;
+    sendCall(false);
+    BOOST_TEST(transport.on_idle.empty());
+    BOOST_TEST(transport.on_new.size() == 1U);
+    sendCall(true);
+    BOOST_TEST(transport.on_idle.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_with_a_large_body_is_not_kept_for_a_second_try) {
+    transport.is_unacknowledged = true;
+    sendCall(true, 1'000'000);
+    time.advance(kReconnectTime);
+    BOOST_TEST(transport.on_new.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
