Put back the comments of reason that the wording lost

Those whose fact no longer holds, or that the names say, stay out. Measured: nothing; no code is changed.

--- a/src/decision/bottleneck_view.h
+++ b/src/decision/bottleneck_view.h
@@ -36,13 +36,15 @@
 
 /// Constants of the view.
 struct BottleneckKnobs {
-    Duration report_ttl = 1s;               ///< A ratio holds this long after its last report, then rises to 1 over
-                                            ///< the same time.
-    Duration load_ttl = 500ms;              ///< A relay's load counts this long in the sum of its service.
-    double report_weight = 0.2;             ///< Weight of one report in the moving averages of ratios, times and costs.
-    Duration ratio_averaging_time = 100ms;  ///< Ratios reported longer ago than this weigh little against a new one.
-    double min_reported_share = 0.5;        ///< A route uses a service if at least this share of reports names it.
-    double reported_share_weight = 0.1;     ///< Weight of one report in that share.
+    Duration report_ttl = 1s;    ///< A ratio holds this long after its last report, then rises to 1 over
+                                 ///< the same time.
+    Duration load_ttl = 500ms;   ///< A relay's load counts this long in the sum of its service.
+    double report_weight = 0.2;  ///< Weight of one report in the moving averages of ratios, times and costs.
+    /// Ratios reported longer ago than this weigh little against a new one. An entry that hears of a service a few
+    /// times a second would otherwise reject requests for an overload that has passed.
+    Duration ratio_averaging_time = 100ms;
+    double min_reported_share = 0.5;     ///< A route uses a service if at least this share of reports names it.
+    double reported_share_weight = 0.1;  ///< Weight of one report in that share.
 };
 
 /// Keeps one estimate per service, whichever relay or route it was reported through: the summed load of the
--- a/src/decision/retry_budget.cc
+++ b/src/decision/retry_budget.cc
@@ -6,13 +6,14 @@
 
 namespace {
 
-/// Counts are kept per step of the clock, a small part of a usual window.
+/// Counts are kept per step of the clock: fine enough that the edge of a window of 10 s matters for 0.025 of it.
 constexpr Duration kStep = 250ms;
 /// First attempts allow retries for this many steps after their own: enough for entries to stop using an instance
 /// that has failed. A longer time requires a smaller `kUsableShare`.
 constexpr std::int64_t kCarryOverSteps = 4;
-/// Share of the limit that is used. The margin covers the steps that are carried over, calls of retried requests, of
-/// which only the mean is known, and the granularity of steps.
+/// Share of the limit that is used. If all relays stop within a window of 10 s, the second that is carried over brings
+/// the retries to 0.88 of the limit. The rest covers calls of retried requests, of which only the mean is known, and
+/// the granularity of steps.
 constexpr double kUsableShare = 0.8;
 /// Share of the slack that is available at once. The rest accrues over a window and is all that a new relay has in its
 /// first one, so that frequent restarts do not multiply the slack.
--- a/src/decision/retry_budget.h
+++ b/src/decision/retry_budget.h
@@ -36,7 +36,8 @@
 /// Invariant: in every span of time up to a window, the relay's retries stay within the ratio of its first attempts
 /// in that span and a short time before it, plus its part of the slack. The retries of all relays together then stay
 /// within the service's limit in any window, however often relays restart or load moves between them. A limit per
-/// relay over its own last window does not ensure this: windows of different relays end at different times.
+/// relay over its own last window does not ensure this: windows of different relays end at different times, and
+/// together they admit retries by the requests of two windows.
 ///
 /// A relay does not know what it has spent before a restart. It starts without slack and accrues it over time.
 class RetryBudget {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -23,8 +23,10 @@
     double max_random_cost = 0.05;  ///< Uniform from zero to this; keeps entries from choosing the same relay.
     double suspected_cost = 100;    ///< Added for a suspected relay, so that any other one is preferred.
     Duration load_decay = 2s;       ///< Weight of a reported load falls linearly to zero over this time.
-    double failure_cost = 3;        ///< Multiplies the decaying mean of recent failures, from 0 to 1.
-    Duration failure_decay = 2s;    ///< Decay time of that mean.
+    /// Multiplies the decaying mean of recent failures, from 0 to 1. A relay whose calls fail goes on receiving some as
+    /// that mean decays, so that its recovery is noticed.
+    double failure_cost = 3;
+    Duration failure_decay = 2s;  ///< Decay time of that mean.
     /// A reported rate limit counts for this long; then a request is to find out whether it still applies.
     Duration rate_limit_memory = 5s;
 };
--- a/src/quarantine/exchange.h
+++ b/src/quarantine/exchange.h
@@ -30,8 +30,10 @@
 
 /// Constants of the exchange.
 struct ExchangeKnobs {
-    Duration timeout = 600ms;          ///< Time within which a message needs a response.
-    Duration interval = 1s;            ///< Time between gossip rounds.
+    Duration timeout = 600ms;  ///< Time within which a message needs a response.
+    /// Time between gossip rounds. With two relays per round, a relay that has missed a record has it within 3 s in 399
+    /// of 400 cases.
+    Duration interval = 1s;
     std::size_t fanout = 2;            ///< Relays per gossip round.
     std::size_t initial_requests = 2;  ///< Relays from which a relay requests records and suspects after its start.
 };
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -9,7 +9,7 @@
 
 namespace dewcrank::quarantine {
 
-/// 64-bit hash. Collisions among the requests that a relay tracks are negligible.
+/// 64-bit hash. Of the 100,000 distinct requests of some minutes, two collide once in 3.7 billion cases.
 using Fingerprint = std::uint64_t;
 
 /// Hashes what determines the work of the instance: method, host, path with query, and body. Request id, deadline and
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -32,7 +32,8 @@
     /// A term of quarantine lasts `initial_term` times the version of the record, so that repeated terms grow.
     Duration initial_term = std::chrono::minutes(10);
     Duration max_term = std::chrono::hours(24);
-    /// Bounds of memory. The oldest suspects, and the records that expire first, are evicted.
+    /// Bounds of memory. The oldest suspects, and the records that expire first, are evicted. A crash of an instance
+    /// with 200 slots leaves 200 suspects; 4,096 take about 0.3 MB.
     std::size_t max_suspects = 4096;
     std::size_t max_records = 256;
     RecentCompletionKnobs recent_completions;
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -6,9 +6,11 @@
 
 namespace {
 
-constexpr Duration kCancelledRetention = 150ms;  ///< An instance may run a cancelled request for this time.
-constexpr Duration kLostRetention = 5s;          ///< Until the next incarnation has started and sent a heartbeat.
-constexpr std::size_t kMaxEndedRuns = 1024;      ///< Bounds memory.
+/// An instance may run a cancelled request for this time: runs that crash instances take 70 to 80 ms, and the crash as
+/// long again to be noticed.
+constexpr Duration kCancelledRetention = 150ms;
+constexpr Duration kLostRetention = 5s;      ///< Until the next incarnation has started and sent a heartbeat.
+constexpr std::size_t kMaxEndedRuns = 1024;  ///< Bounds memory.
 
 }  // namespace
 
--- a/src/quarantine/trial_gate.h
+++ b/src/quarantine/trial_gate.h
@@ -24,8 +24,10 @@
 
 /// Constants of the gate.
 struct TrialGateKnobs {
-    std::size_t min_up = 2;          ///< Number of instances that run no trial, so that they stay up.
-    Duration settle_time = 250ms;    ///< Time for the directory to show a crash, and one that follows right after it.
+    std::size_t min_up = 2;  ///< Number of instances that run no trial, so that they stay up.
+    /// Time for the directory to show a crash, and one that follows right after it: a run of 70 to 80 ms that crashes
+    /// its instance, and a probe of 150 ms at most that finds this.
+    Duration settle_time = 250ms;
     Duration max_restart_time = 5s;  ///< A crashed instance that has not restarted within this time counts as lost.
 };
 
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -27,7 +27,8 @@
 struct QuotaClientKnobs {
     Duration request_timeout = 150ms;  ///< Timeout of a token request to an owner.
     Duration owner_backoff = 500ms;    ///< No requests to a shard for this long after one to its owner has failed.
-    /// Maximum number of shard owners tried per request; one shard may be empty while the tenant is below its limit.
+    /// Maximum number of shard owners tried per request. One shard may be empty while the tenant is below its limit: at
+    /// 0.62 of its limit, one in ten of its shards is.
     std::uint32_t max_owners = 3;
     Duration return_delay = 100ms;  ///< Unused tokens are returned with the next token request, or after this.
     Duration min_retry_after = 1s;  ///< Retry-After of the rejection of a request over its tenant's limit.
--- a/src/quota/quota_shard.h
+++ b/src/quota/quota_shard.h
@@ -20,7 +20,8 @@
 inline constexpr std::uint32_t kShardCount = 8;
 
 /// Number of shards that a tenant's quota is divided over. Tenants with a small burst use few: with only a token or two
-/// per shard, requests would be rejected at an empty shard while others still have tokens.
+/// per shard, requests would be rejected at an empty shard while others still have tokens: of a tenant at half of its
+/// limit, 0.19 at eight shards of one token each, and none at one shard (2 requests a second over 20 nodes).
 std::uint32_t shardCountOf(const wire::Tenant& tenant);
 /// The first shard of a tenant, by a hash of the name; the others follow it, modulo `kShardCount`.
 std::uint32_t firstShardOf(const std::string& tenant);
--- a/src/relay/crash_detector.h
+++ b/src/relay/crash_detector.h
@@ -18,7 +18,8 @@
 
 /// Constants of the detector.
 struct CrashDetectorKnobs {
-    Duration burst_window = 15ms;    ///< The connections closed by a crash are read within this time.
+    /// The connections closed by a crash are read within this time: 107 of them in 10 ms, on 0.4 cores.
+    Duration burst_window = 15ms;
     Duration probe_timeout = 150ms;  ///< A live instance accepts a connection within this time, even if it is full.
 };
 
