--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -413,10 +413,10 @@
 
 /// Seeds on which the limit on failures was exceeded before.
 BOOST_AUTO_TEST_CASE(failures_are_tried_elsewhere_on_the_seeds_that_were_red) {
-    for (const std::uint64_t seed : {3, 35, 59, 118, 178, 182}) {
+    for (const std::uint64_t seed : {3, 35, 59, 118, 178, 182, 547}) {
         checkFailuresAreRetried({12s, 3}, seed);
     }
-    for (const std::uint64_t seed : {69, 100, 133}) {
+    for (const std::uint64_t seed : {69, 100, 133, 682}) {
         checkFailuresAreRetried({4s, 6}, seed);
     }
 }
