--- a/tests/unit/fleet/zone_ranking_test.cc
+++ b/tests/unit/fleet/zone_ranking_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 #include "tests/support/fakes.h"
 
@@ -74,4 +75,31 @@
     BOOST_TEST(directory.zoneCount() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(each_zone_has_one_first_node_which_suspicion_replaces) {
+    const auto* first = ranking.first("east");
+    BOOST_TEST(first->record.zone() == "east");
+    for (const auto& [name, node] : directory.others()) {
+        BOOST_TEST((node.record.zone() != "east" || node.rank <= first->rank));
+    }
+    const auto former = first->record.name();
+    directory.onUnreachable(former);
+    BOOST_TEST(ranking.first("east")->record.name() != former);
+    BOOST_TEST(ranking.first("south") == nullptr);
+    BOOST_TEST((directory.zones() == std::vector<std::string>{"east", "north"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_is_first_in_its_zone_knows_no_node_before_it) {
+    std::size_t first_nodes = 0;
+    for (const char* name : {"n1", "n2", "n3"}) {
+        fleet::NodeDirectory own(time.clock, recordOf(name, "north"));
+        for (const char* other : {"n1", "n2", "n3"}) {
+            if (std::string(other) != name) {
+                own.merge(recordOf(other, "north"));
+            }
+        }
+        first_nodes += fleet::ZoneRanking(own).first("north") == nullptr ? 1 : 0;
+    }
+    BOOST_TEST(first_nodes == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
