--- a/sim/table_audit.cc
+++ b/sim/table_audit.cc
@@ -194,7 +194,7 @@
     };
     std::vector<Effect> effects;
     const auto restarts = restarts_.find(machine);
-    const auto lifeOf = [&](TimePoint at) {
+    const auto life_of = [&](TimePoint at) {
         return restarts == restarts_.end() ? 0
                                            : std::count_if(restarts->second.begin(), restarts->second.end(),
                                                            [at](auto it) { return it <= at; });
@@ -207,7 +207,7 @@
         }
         std::size_t oldest_seen = 0;
         for (const auto& effect : effects) {
-            if (effect.at + bounds_.back < request.sent && lifeOf(effect.at) == lifeOf(request.sent)) {
+            if (effect.at + bounds_.back < request.sent && life_of(effect.at) == life_of(request.sent)) {
                 oldest_seen = std::max(oldest_seen, effect.version);
             }
         }
