--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -75,8 +75,10 @@
     message.headers.set("Host", kHost);
     message.headers.set(names_.request_id, recorded->id);
     message.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(kDeadline)));
-    message.headers.set("Authorization", names_.auth_scheme + " " + recorded->key);
-    message.headers.set(names_.tenant, "forged");
+    if (!recorded->key.empty()) {
+        message.headers.set("Authorization", names_.auth_scheme + " " + recorded->key);
+        message.headers.set(names_.tenant, "forged");
+    }
     auto& pending = pending_[number];
     pending.attempt = client_.send(fleet_.node(entry).callers.text(), std::move(message), kDeadline + kResponseGrace,
                                    [this, number, recorded, client_retries](const AttemptResult& result) {
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -66,6 +66,7 @@
         forwardOrDelay(&to_target_);
         forwardOrDelay(&from_target_);
     }
+    void silence() { is_silent_ = true; }
     void reset() {
         resetOnClose(to_target_.source);
         resetOnClose(to_target_.destination);
@@ -107,6 +108,10 @@
 
     /// Forwards the bytes read so far, at once or after the delay. Does nothing while the direction is blocked.
     void forwardOrDelay(Direction* direction) {
+        if (is_silent_) {
+            discard(direction);
+            return;
+        }
         if (isBlocked(*direction) || direction->timer) {
             return;
         }
@@ -120,6 +125,10 @@
         forward(direction);
     }
     void forward(Direction* direction) {
+        if (is_silent_) {
+            discard(direction);
+            return;
+        }
         if (isBlocked(*direction)) {
             return;
         }
@@ -128,6 +137,13 @@
             closeDestination(direction);
         }
     }
+    void discard(Direction* direction) {
+        auto* input = bufferevent_get_input(direction->source);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        if (direction->source_closed) {
+            proxy_.release(this);
+        }
+    }
     /// Closes the destination after pending bytes are sent, or resets it at once if the source was reset.
     void closeDestination(Direction* direction) {
         if (direction->is_reset) {
@@ -146,6 +162,7 @@
     }
 
     FaultProxy& proxy_;
+    bool is_silent_ = false;
     Direction to_target_;
     Direction from_target_;
 };
@@ -200,6 +217,12 @@
     }
 }
 
+void FaultProxy::silenceAll() {
+    for (const auto& [link, owned] : links_) {
+        link->silence();
+    }
+}
+
 void FaultProxy::release(Link* link) {
     auto ended = links_.extract(link);
     if (ended.empty()) {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -41,6 +41,9 @@
     void setFaults(const LinkFaults& faults);
     /// Resets all open connections (TCP RST) at both ends.
     void resetAll();
+    /// Makes all open connections silent for good: bytes are accepted and never forwarded. New connections work. An end
+    /// that closes a silent connection closes it for the other one as well.
+    void silenceAll();
 
 private:
     class Link;
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -88,6 +88,9 @@
         {"service-limit", Scope::kNone, false, &F::limitService, &F::restoreService, {}, false},
         {"instance-leaving", Scope::kNone, false, &F::announceLeaving, &F::replaceInstance, {}, false},
         {"machine-replaced", Scope::kNode, true, &F::replaceHost, &F::startReplacement, {}, false},
+        {"node-connections-silent", Scope::kNode, false, &F::silenceNode, &F::noAction, {}, false},
+        {"store-connections-silent", Scope::kAll, false, &F::silenceStoreLinks, &F::noAction, {}, false},
+        {"connections-silent", Scope::kAll, false, &F::silenceAllLinks, &F::noAction, {}, false},
     };
     return all;
 }
@@ -354,6 +357,24 @@
     fleet_.node(node).instance_proxy->resetAll();
 }
 
+void FaultInjector::silenceNode(std::size_t node) {
+    fleet_.node(node).node_proxy->silenceAll();
+    fleet_.node(node).instance_proxy->silenceAll();
+    fleet_.node(node).store_proxy->silenceAll();
+}
+
+void FaultInjector::silenceStoreLinks(std::size_t) {
+    for (std::size_t node = 0; node < fleet_.size(); ++node) {
+        fleet_.node(node).store_proxy->silenceAll();
+    }
+}
+
+void FaultInjector::silenceAllLinks(std::size_t) {
+    for (std::size_t node = 0; node < fleet_.size(); ++node) {
+        silenceNode(node);
+    }
+}
+
 // Store ----------------------------------------------------------------------
 
 void FaultInjector::stallStore(std::size_t) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -81,6 +81,9 @@
     void delayInstance(std::size_t node);
     void restoreInstanceLink(std::size_t node);
     void resetInstance(std::size_t node);
+    void silenceNode(std::size_t node);
+    void silenceStoreLinks(std::size_t node);
+    void silenceAllLinks(std::size_t node);
     // Store
     void stallStore(std::size_t node);
     void failStore(std::size_t node);
