--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -87,6 +87,7 @@
     result.header_names = platform_.header_names;
     result.knobs.relay.retry_limit = settings_.retry_limit;
     result.knobs.table_lease.revocation = settings_.key_revocation;
+    result.knobs.overload = settings_.overload;
     result.knobs.max_stop_time = settings_.stop_grace - kStopMargin;
     return result;
 }
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -133,6 +133,29 @@
             [get](const SidecarSettings& settings) { return numberText(get(settings)); }};
 }
 
+/// A switch: "true" or a number above 0 is on; "false", 0 or an empty text is off.
+SettingKey switchKey(const char* name, bool OverloadFeatures::*member) {
+    return {name, false,
+            [name, member](SidecarSettings& settings, const SourceValue& source) -> Result<void> {
+                auto& is_on = settings.overload.*member;
+                if (source.text.empty() || source.text == "true" || source.text == "false") {
+                    is_on = source.text == "true";
+                    return {};
+                }
+                double value = 0;
+                const auto* const end = source.text.data() + source.text.size();
+                const auto result = std::from_chars(source.text.data(), end, value);
+                if (result.ec != std::errc() || result.ptr != end || !(value >= 0)) {
+                    return stepError(
+                        kStep, source.location,
+                        std::string(name) + ": '" + source.text + "' is neither true, false nor a number from 0");
+                }
+                is_on = value > 0;
+                return {};
+            },
+            [member](const SidecarSettings& settings) { return settings.overload.*member ? "true" : "false"; }};
+}
+
 Duration milliseconds(double value) {
     return Duration(static_cast<std::int64_t>(value * 1e3));
 }
@@ -178,6 +201,11 @@
             "stop.grace_s", 1, kMaxSeconds,
             [](SidecarSettings& settings, double value) { settings.stop_grace = milliseconds(value * 1e3); },
             [](const SidecarSettings& settings) { return inMilliseconds(settings.stop_grace) / 1e3; }),
+        switchKey("overload.pace_balancing", &OverloadFeatures::pace_balancing),
+        switchKey("overload.zone_balancing", &OverloadFeatures::zone_balancing),
+        switchKey("overload.retry_admission", &OverloadFeatures::retry_admission),
+        switchKey("overload.fair_shares", &OverloadFeatures::fair_shares),
+        switchKey("overload.return_priority", &OverloadFeatures::return_priority),
     };
     return all;
 }
@@ -202,10 +230,12 @@
         SourceValue source{locationOf(file, value), ""};
         if (const auto text = value.value<std::string>()) {
             source.text = *text;
+        } else if (const auto flag = value.value_exact<bool>()) {
+            source.text = *flag ? "true" : "false";
         } else if (const auto number = value.value<double>()) {
             source.text = numberText(*number);
         } else {
-            return stepError(kStep, source.location, key + ": a string or a number is expected");
+            return stepError(kStep, source.location, key + ": a string, a number or a boolean is expected");
         }
         values[key] = source;
     }
--- a/src/adapters/sidecar_settings.h
+++ b/src/adapters/sidecar_settings.h
@@ -8,6 +8,7 @@
 
 #include "src/adapters/socket_address.h"
 #include "src/base/error.h"
+#include "src/base/overload_features.h"
 #include "src/base/time.h"
 #include "src/decision/retry_budget.h"
 
@@ -31,7 +32,8 @@
     decision::RetryLimit retry_limit{0.1, 10, 10s};  ///< Limit of the retries of the service, over all relays.
     /// Maximum time for which requests with a revoked key may still run; zero: not bounded.
     Duration key_revocation{};
-    Duration stop_grace = 6s;  ///< Time for calls in flight to complete when the node stops.
+    Duration stop_grace = 6s;   ///< Time for calls in flight to complete when the node stops.
+    OverloadFeatures overload;  ///< Optional parts of the overload control.
 };
 
 /// Reads and validates a TOML file. @return the settings, or an error for an unknown key, a missing key or an invalid
--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -52,13 +52,13 @@
     return 1;
 }
 
-bool Admission::admits(TimePoint now, const Bottleneck& bottleneck, std::uint32_t rank, bool is_client_retry) {
+bool Admission::admits(TimePoint now, const Bottleneck& bottleneck, const AdmissionRequest& request) {
     if (bottleneck.service.empty()) {
         return true;
     }
     auto& arrivals = arrivals_[bottleneck.service];
     decay(now, &arrivals);
-    const auto effective_rank = rank + (is_client_retry ? kClientRetryRank : 0);
+    const auto effective_rank = request.rank + (request.is_client_retry ? kClientRetryRank : 0);
     arrivals.slot_time[effective_rank] += toSeconds(std::max(bottleneck.cost, kMinCost));
     return bottleneck.admit_ratio >= 1 ||
            random_.unit() < admitProbability(arrivals, bottleneck.admit_ratio, effective_rank);
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -19,18 +19,21 @@
     double min_share = 0.3;  ///< Share of the admission ratio that each rank of first attempts keeps at least.
 };
 
+/// A request that asks for admission.
+struct AdmissionRequest {
+    std::uint32_t rank = 0;        ///< The request's `policy::rankOf`; 0 is rejected last.
+    bool is_client_retry = false;  ///< Rejected before all first attempts, so that retrying gains a client nothing.
+};
+
 /// Admits or rejects each request by its rank and by the admission ratio of its bottleneck service.
 class Admission {
 public:
     Admission(RandomSource& random, AdmissionKnobs knobs) : random_(random), knobs_(knobs) {}
 
     /// Counts a request and decides whether it is admitted.
-    /// @param bottleneck        bottleneck of the request's route; without a known one the request is admitted.
-    /// @param rank              the request's `policy::rankOf`; 0 is rejected last.
-    /// @param is_client_retry   true: the request is rejected before all first attempts, so that retrying gains a
-    /// client nothing.
+    /// @param bottleneck   bottleneck of the request's route; without a known one the request is admitted.
     /// @return true if the request is admitted.
-    bool admits(TimePoint now, const Bottleneck& bottleneck, std::uint32_t rank, bool is_client_retry);
+    bool admits(TimePoint now, const Bottleneck& bottleneck, const AdmissionRequest& request);
 
 private:
     /// Slot time in seconds that arriving requests need at one bottleneck, by rank; decays exponentially.
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -7,6 +7,7 @@
 
 #include "src/base/disabled_mechanisms.h"
 #include "src/base/header_names.h"
+#include "src/base/overload_features.h"
 #include "src/base/time.h"
 #include "src/decision/admission.h"
 #include "src/entry/access_check.h"
@@ -49,6 +50,7 @@
     Duration drain_time = 2500ms;
     /// Maximum time from stop() until the node has stopped, with or without calls in flight.
     Duration max_stop_time = 5500ms;
+    OverloadFeatures overload;
     DisabledMechanisms disabled;  ///< Tests only.
 };
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -268,7 +268,7 @@
     }
     const auto bottleneck = bottlenecks_.bottleneckOf(now, route);
     plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, bottleneck.admit_ratio);
-    return admission_.admits(now, bottleneck, plan->rank, is_client_retry);
+    return admission_.admits(now, bottleneck, {plan->rank, is_client_retry});
 }
 
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
--- a/tests/unit/adapters/sidecar_settings_test.cc
+++ b/tests/unit/adapters/sidecar_settings_test.cc
@@ -57,6 +57,23 @@
     BOOST_TEST(adapters::describeSidecarSettings(settings).find("store.address = 10.0.0.2:6") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(parts_of_the_overload_control_are_off_unless_the_settings_switch_them_on) {
+    const SettingsFile file(kValidSettings +
+                            "[overload]\npace_balancing = true\nzone_balancing = \"1\"\nretry_admission = \"0\"\n"
+                            "fair_shares = \"\"\n");
+    adapters::SidecarSettings settings;
+    const auto error = tests::errorOf([&]() -> Result<int> {
+        BOOST_LEAF_ASSIGN(settings, adapters::readSidecarSettings(file.path));
+        return 0;
+    });
+    BOOST_TEST(error == "");
+    BOOST_TEST(settings.overload.pace_balancing);
+    BOOST_TEST(settings.overload.zone_balancing);
+    BOOST_TEST(!settings.overload.retry_admission);
+    BOOST_TEST(!settings.overload.fair_shares);
+    BOOST_TEST(!settings.overload.return_priority);
+}
+
 BOOST_AUTO_TEST_CASE(a_fault_names_its_file_line_key_and_what_is_allowed) {
     const struct {
         std::string text;
@@ -67,7 +84,11 @@
          "sidecar-settings-test.toml:14: retries.ratio: 'x' is not a number from 0"},
         {kValidSettings + "[retries]\nratio = 3\n", "is not a number from 0 to 1"},
         {kValidSettings + "[retries]\nodd = 3\n", "sidecar-settings-test.toml:14: retries.odd: unknown key"},
-        {kValidSettings + "[stop]\ngrace_s = true\n", "a string or a number is expected"},
+        {kValidSettings + "[stop]\ngrace_s = true\n", "stop.grace_s: 'true' is not a number from 1 to 3600"},
+        {kValidSettings + "[stop]\ngrace_s = [1]\n", "a string, a number or a boolean is expected"},
+        {kValidSettings + "[overload]\nfair_shares = \"yes\"\n",
+         "sidecar-settings-test.toml:14: overload.fair_shares: 'yes' is neither true, false nor a number from 0"},
+        {kValidSettings + "[overload]\nfair_shares = -1\n", "overload.fair_shares: '-1' is neither"},
         {"name = \"\"\n" + kValidSettings.substr(kValidSettings.find('\n') + 1), "name: must not be empty"},
         {"name = \"n\"\nzone\n", "sidecar-settings-test.toml:2"},
     };
--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -21,11 +21,11 @@
         for (int round = 0; round < kRounds; ++round) {
             for (const std::uint32_t priority : {0U, 1U, 2U}) {
                 admitted[priority] +=
-                    admission.admits(time.clock.now(), {"leaf", admit_ratio, 40ms}, priority, false) ? 1 : 0;
+                    admission.admits(time.clock.now(), {"leaf", admit_ratio, 40ms}, {priority, false}) ? 1 : 0;
             }
             for (int retry = 0; retry < client_retries; ++retry) {
                 admitted[kClientRetry] +=
-                    admission.admits(time.clock.now(), {"leaf", admit_ratio, 40ms}, 0, true) ? 1 : 0;
+                    admission.admits(time.clock.now(), {"leaf", admit_ratio, 40ms}, {0, true}) ? 1 : 0;
             }
             time.advance(1ms);
         }
@@ -47,7 +47,7 @@
 BOOST_FIXTURE_TEST_SUITE(unit_decision_admission, AdmissionFixture)
 
 BOOST_AUTO_TEST_CASE(nothing_is_rejected_without_a_report_or_at_ratio_one) {
-    BOOST_TEST(admission.admits(time.clock.now(), {}, 7, true));
+    BOOST_TEST(admission.admits(time.clock.now(), {}, {7, true}));
     for (const auto& [priority, share] : sharesAt(1, 1)) {
         BOOST_TEST(share == 1, priority);
     }
@@ -96,8 +96,8 @@
     int urgent = 0;
     int other = 0;
     for (int round = 0; round < kRounds; ++round) {
-        urgent += admission.admits(time.clock.now(), {"leaf", 0.75, 20ms}, 0, false) ? 1 : 0;
-        other += admission.admits(time.clock.now(), {"leaf", 0.75, 60ms}, 1, false) ? 1 : 0;
+        urgent += admission.admits(time.clock.now(), {"leaf", 0.75, 20ms}, {0, false}) ? 1 : 0;
+        other += admission.admits(time.clock.now(), {"leaf", 0.75, 60ms}, {1, false}) ? 1 : 0;
         time.advance(1ms);
     }
     BOOST_TEST(urgent == kRounds);
