Add a simulation of instances that accept a bounded number of connections

Cause: with 348 of 370 requests running, an instance refused one connection. Its relay set its state to unknown until the next heartbeat, the load moved to the next instance, and all instances of the service went out of service in turn.

Change: InstanceOptions::max_connections, and max_connections_full while less than a tenth of the slots is free. Network refuses further connections and counts busy and idle ones.

--- a/sim/network.cc
+++ b/sim/network.cc
@@ -37,6 +37,7 @@
     bool is_delivered = false;
     bool has_response = false;
     bool is_finished = false;
+    bool holds_connection = false;  ///< Counted in busy_connections_.
     std::uint64_t server_number = 0;
     Host* server_host = nullptr;
 };
@@ -144,6 +145,7 @@
         call->is_silent = idle.back().is_silent;
         idle.pop_back();
         call->used_idle_connection = true;
+        setHoldsConnection(call, true);
     } else {
         delay += options_.connect_time;
     }
@@ -165,6 +167,34 @@
                   [&](const auto& it) { return queue_.now() - it.since >= min_idle_time; });
 }
 
+void Network::setHoldsConnection(const CallPtr& call, bool holds) {
+    if (call->holds_connection != holds) {
+        call->holds_connection = holds;
+        holds ? ++busy_connections_[call->address] : --busy_connections_[call->address];
+    }
+}
+
+/// Of the idle connections to the server only those of this client count: an instance is called by its own node only.
+bool Network::acceptsConnection(const Call& call, const Server& server) const {
+    if (closing_servers_.contains(call.address)) {
+        return false;
+    }
+    if (server.max_connections == nullptr) {
+        return true;
+    }
+    std::size_t open = 0;
+    if (const auto busy = busy_connections_.find(call.address); busy != busy_connections_.end()) {
+        open += busy->second;
+    }
+    if (const auto idle = idle_connections_.find({call.from, call.address}); idle != idle_connections_.end()) {
+        open +=
+            static_cast<std::size_t>(std::count_if(idle->second.begin(), idle->second.end(), [this](const auto& it) {
+                return queue_.now() - it.since < options_.max_idle_time;
+            }));
+    }
+    return open < server.max_connections();
+}
+
 /// The request arrives at the server's host.
 void Network::deliver(const CallPtr& call) {
     const auto& server = servers_.at(call->address);
@@ -172,14 +202,15 @@
     if (call->is_finished || call->is_silent || isBlocked(*call->from, *host)) {
         return;
     }
-    const bool is_closed = closing_servers_.contains(call->address) && !call->used_idle_connection;
-    if (!host->isUp() || is_closed) {
+    const bool is_refused = !call->used_idle_connection && !acceptsConnection(*call, server);
+    if (!host->isUp() || is_refused) {
         // On an idle connection the request went out before the reset came back.
         const auto outcome = call->used_idle_connection ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent;
         scheduleFinish(call, latency(host->zone(), call->from->zone()), {outcome, {}, std::string(kConnectionClosed)});
         return;
     }
     call->is_connected = true;
+    setHoldsConnection(call, true);
     call->server_host = host;
     queue_.schedule(queue_.now(), host, [this, call] {
         if (call->is_finished) {
@@ -234,9 +265,7 @@
     if (call->is_finished) {
         return;
     }
-    call->is_finished = true;
-    call->timer.reset();
-    calls_.erase(call->number);
+    release(call);
     const bool is_unreachable =
         call->server_host == nullptr || call->is_silent || isBlocked(*call->from, *call->server_host);
     if (is_unreachable) {
@@ -251,6 +280,7 @@
 }
 
 void Network::release(const CallPtr& call) {
+    setHoldsConnection(call, false);
     call->is_finished = true;
     call->timer.reset();
     calls_.erase(call->number);
--- a/sim/network.h
+++ b/sim/network.h
@@ -41,6 +41,8 @@
     std::function<std::uint64_t(HttpRequest, Reply)> handle;
     /// Called when the client has closed the connection of a request.
     std::function<void(std::uint64_t)> cancel;
+    /// @return how many connections the server accepts at present; further ones are refused. Null: any number.
+    std::function<std::size_t()> max_connections{};
 };
 
 /// All servers, connections and calls under way, and the links between zones.
@@ -92,6 +94,8 @@
     }
     /// @return the latency of one message, drawn at random.
     [[nodiscard]] Duration latency(const std::string& from, const std::string& to);
+    [[nodiscard]] bool acceptsConnection(const Call& call, const Server& server) const;
+    void setHoldsConnection(const CallPtr& call, bool holds);
     void deliver(const CallPtr& call);
     void respond(const CallPtr& call, HttpResponse response);
     void finish(const CallPtr& call, AttemptResult result);
@@ -108,6 +112,7 @@
     /// By client and address. The last one is used first.
     std::map<std::pair<Host*, std::string>, std::vector<IdleConnection>> idle_connections_;
     std::set<std::string> closing_servers_;
+    std::map<std::string, std::size_t> busy_connections_;  ///< Connections that carry a call, by address.
     std::map<std::uint64_t, CallPtr> calls_;
     std::uint64_t last_call_ = 0;
 };
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -57,7 +58,8 @@
                                             if (!cancelled.empty()) {
                                                 records_.runs[cancelled.mapped().record_index].ended = queue_.now();
                                             }
-                                        }});
+                                        },
+                                        [this] { return maxConnections(); }});
     sendHeartbeat();
 }
 
@@ -108,6 +110,14 @@
     heartbeat_timer_ = host_.startTimer(options_.heartbeat_interval, [this] { sendHeartbeat(); });
 }
 
+std::size_t SidecarInstance::maxConnections() const {
+    const bool is_full = running_.size() >= options_.slots - options_.slots / 10;
+    if (is_full && options_.max_connections_full > 0) {
+        return options_.max_connections_full;
+    }
+    return options_.max_connections > 0 ? options_.max_connections : std::numeric_limits<std::size_t>::max();
+}
+
 std::uint64_t SidecarInstance::handle(HttpRequest request, Server::Reply reply) {
     const auto run_id = ++last_run_id_;
     HttpResponse response;
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -40,6 +40,8 @@
     Duration restart_delay = 1500ms;        ///< From such a crash to the restart.
     std::optional<double> rate_limit;       ///< Requests per second that responses name as its limit; none: no limit.
     bool says_leaving = false;              ///< Responses say that the instance is leaving.
+    std::size_t max_connections = 0;        ///< Further connections are refused; 0: any number.
+    std::size_t max_connections_full = 0;   ///< The same while less than a tenth of its slots is free; 0: no less.
     bool fails_with_internal_call = false;  ///< A run fails with status 500 as soon as one of its calls fails.
 };
 
@@ -134,6 +136,7 @@
 
 private:
     std::uint64_t handle(HttpRequest request, Server::Reply reply);
+    [[nodiscard]] std::size_t maxConnections() const;
     void startWork(std::uint64_t run_id);
     void callInternalRoute(std::uint64_t run_id, int calls_left);
     void finishRun(std::uint64_t run_id);
