Return a request that was not sent with its result

Cause: the relay gives its request to the transport, so that it cannot send it again when the connection is refused.

Change: AttemptResult::unsent holds the request with kNotSent, in HttpClient and in the simulated network. It is moved, so that requests that are sent cost nothing more.

--- a/sim/network.cc
+++ b/sim/network.cc
@@ -255,6 +255,9 @@
         return;
     }
     result.used_idle_connection = call->used_idle_connection;
+    if (result.outcome == AttemptOutcome::kNotSent) {
+        result.unsent = std::move(call->request);
+    }
     const auto callback = std::exchange(call->callback, nullptr);
     release(call);
     callback(std::move(result));
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -32,7 +32,7 @@
         }
         if (!connection_->connect()) {
             releaseConnection();
-            finishLater({AttemptOutcome::kNotSent, {}, "connect-failed"});
+            finishLater(failureResult("connect-failed"));
             return;
         }
         timer_ = client_.loop_.startTimer(std::min(timeout, kConnectTimeout), [this] { onTimeout(); });
@@ -71,11 +71,16 @@
         finish(failureResult(std::string(kTimedOut)));
     }
 
-    [[nodiscard]] AttemptResult failureResult(std::string reason) const {
-        return {is_sent_ ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
-                {},
-                std::move(reason),
-                used_idle_connection_};
+    /// Moves the request into the result if it was not sent.
+    [[nodiscard]] AttemptResult failureResult(std::string reason) {
+        AttemptResult result;
+        result.outcome = is_sent_ ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent;
+        result.reason = std::move(reason);
+        result.used_idle_connection = used_idle_connection_;
+        if (!is_sent_) {
+            result.unsent = std::move(request_);
+        }
+        return result;
     }
 
     void releaseConnection() {
--- a/src/ports/http_transport.h
+++ b/src/ports/http_transport.h
@@ -24,11 +24,13 @@
 /// Result of an attempt.
 struct AttemptResult {
     AttemptOutcome outcome = AttemptOutcome::kNotSent;
-    HttpResponse response;  ///< Only with kResponded.
-    std::string reason;     ///< Why there is no response.
+    HttpResponse response{};  ///< Only with kResponded.
+    std::string reason{};     ///< Why there is no response.
     /// The request went out on a connection that had carried earlier ones. If there is no response, the connection may
     /// be broken rather than the peer.
     bool used_idle_connection = false;
+    /// With kNotSent, the request itself if the transport returns it, so that it can be sent again.
+    std::optional<HttpRequest> unsent{};
 };
 
 /// Values of AttemptResult::reason that the code depends on; other reasons are free text.
--- a/tests/contract/http_client_test.cc
+++ b/tests/contract/http_client_test.cc
@@ -165,4 +165,12 @@
     BOOST_TEST(client.openConnections() <= 2U);  // The one that works, and the one whose request is lost.
 }
 
+// Guards against a request that is lost when its connection cannot be opened: it was not sent, and can be sent again.
+BOOST_AUTO_TEST_CASE(a_request_that_was_not_sent_is_returned) {
+    const auto result = call("127.0.0.1:1");
+    BOOST_TEST((result.outcome == AttemptOutcome::kNotSent));
+    BOOST_REQUIRE(result.unsent.has_value());
+    BOOST_TEST(result.unsent->path == "/x");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
