Keep an instance in service that refuses a connection while it answers on others

Cause: RelayService set the state of its instance to unknown at each connection that could not be opened, and only a heartbeat restored it. Under a surge each instance of a service refused one connection and was out of service in turn; each that returned received all waiting requests at once, refused one, and was out again.

Change: relay::ConnectionControl judges failed connections (instance::Reachability) and bounds the queue by the connection limit and the slow start. When the instance counts as down, requests that wait for a connection are rejected at once, and idle connections to it are closed. If a service has no ready instance, an entry probes one whose state is unknown before it waits, and once more before it answers no-instance; a relay admits two probes at a time. A relay with an unknown instance reports its demand with a twentieth of it as capacity, and calls that find no instance lower the admission ratio at their entry, to a tenth at least.

--- a/src/decision/bottleneck_view.cc
+++ b/src/decision/bottleneck_view.cc
@@ -84,14 +84,28 @@
     return admit_ratio + (1 - admit_ratio) * std::clamp(age - 1, 0.0, 1.0);
 }
 
-/// Uses the loads that the service's relays report to this node, or the ratios that other nodes report if these loads
-/// are outdated.
+void BottleneckView::onCallEnded(TimePoint now, const std::string& service, bool found_instance) {
+    const auto found = services_.find(service);
+    if (found != services_.end() && (found->second.no_instance || !found_instance)) {
+        auto& no_instance = found->second.no_instance;
+        no_instance = no_instance.value_or(DecayingMean(knobs_.no_instance_decay));
+        no_instance->add(now, found_instance ? 0 : 1);
+    }
+}
+
 double BottleneckView::admitRatioOf(TimePoint now, const std::string& service) const {
     const auto found = services_.find(service);
     if (found == services_.end()) {
         return 1;
     }
     const auto& it = found->second;
+    const double available = it.no_instance ? 1 - it.no_instance->decayedMean(now) : 1;
+    return std::min(loadRatioOf(now, it), std::max(available, knobs_.min_available_share));
+}
+
+/// Uses the loads that the service's relays report to this node, or the ratios that other nodes report if these loads
+/// are outdated.
+double BottleneckView::loadRatioOf(TimePoint now, const Service& it) const {
     const bool has_own_report =
         it.last_report && (!it.last_ratio_report || now - *it.last_report <= knobs_.report_ttl ||
                            *it.last_report > *it.last_ratio_report);
--- a/src/decision/bottleneck_view.h
+++ b/src/decision/bottleneck_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "src/base/decaying_mean.h"
 #include "src/base/time.h"
 #include "src/decision/call_graph.h"
 #include "src/decision/instance_demand.h"
@@ -45,6 +46,8 @@
     Duration ratio_averaging_time = 100ms;
     double min_reported_share = 0.5;     ///< A route uses a service if at least this share of reports names it.
     double reported_share_weight = 0.1;  ///< Weight of one report in that share.
+    Duration no_instance_decay = 250ms;  ///< Decay time of the share of calls that find no instance of a service.
+    double min_available_share = 0.1;    ///< Admitted while no call finds an instance, so that its return is noticed.
 };
 
 /// Keeps one estimate per service, whichever relay or route it was reported through: the summed load of the
@@ -56,6 +59,8 @@
     /// Updates the estimates from a report that `relay` of `service` attached to a response on `route`.
     void onReport(TimePoint now, const std::string& route, const std::string& service, const std::string& relay,
                   const RouteReport& report);
+    /// A call of `service` has ended. @param found_instance false if no instance of the service could take it.
+    void onCallEnded(TimePoint now, const std::string& service, bool found_instance);
     /// @return the bottleneck of a request of `route`, its own service included.
     [[nodiscard]] Bottleneck bottleneckOf(TimePoint now, const std::string& route) const;
     /// @return the bottleneck of the internal calls that the local instance makes in one run of `route`.
@@ -77,6 +82,7 @@
         std::optional<TimePoint> last_report;  ///< Time of the last report by one of its relays.
         double reported_ratio = 1;             ///< Moving average of the ratios that other nodes report.
         std::optional<TimePoint> last_ratio_report;
+        std::optional<DecayingMean> no_instance;  ///< 1 for each call that found none; set after the first such call.
     };
     /// What the calls of a route need of one service.
     struct DownstreamCost {
@@ -97,6 +103,7 @@
     void evictStale(TimePoint now, Service* service) const;
     void onReportedRatio(TimePoint now, const Bottleneck& downstream);
     [[nodiscard]] double admitRatioOf(TimePoint now, const std::string& service) const;
+    [[nodiscard]] double loadRatioOf(TimePoint now, const Service& service) const;
     [[nodiscard]] double decayTowardOne(TimePoint now, TimePoint last_report, double admit_ratio) const;
     void updateDownstream(Route* route, const Bottleneck& downstream) const;
     [[nodiscard]] Costs costsOf(const Route& route) const;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -41,6 +41,7 @@
         return;
     }
     const auto target = services_.selector.choose(plan_.service, tried_);
+    is_probe_ = target.is_probe;
     const bool has_found_none_running = tried_.empty() || has_met_only_stopping_;
     if (target.node.empty() && has_found_none_running && !has_waited_for_instance_) {
         awaitInstance();
@@ -91,7 +92,7 @@
     request.retry_policy = retryPolicy();
     request.is_counted = is_counted_;
     request.is_suspect = is_suspect_;
-    request.is_only_candidate = target.is_stopping;
+    request.is_only_candidate = target.is_stopping || target.is_probe;
     request.is_last_candidate = rejections_ + 1 >= services_.knobs.max_rejections ||
                                 tried_.size() >= services_.selector.relayCount(plan_.service);
     request.route = plan_.route->name();
@@ -230,7 +231,21 @@
            !services_.is_overloaded(plan_) && services_.selector.hasReachableRelay(plan_.service, tried_);
 }
 
+/// The instance is still down, or takes no further probe.
+void EntryCall::onProbeRejected() {
+    if (has_waited_for_instance_) {
+        fail("no-instance", false);
+    } else {
+        awaitInstance();
+    }
+}
+
 void EntryCall::onNotRun(const relay::RelayResult& result) {
+    if (is_probe_ && attempts_made_ == 0 &&
+        (result.reason == relay::RelayReason::kDraining || result.reason == relay::RelayReason::kNotConnected)) {
+        onProbeRejected();
+        return;
+    }
     is_overload_ = result.reason == relay::RelayReason::kQueueTooLong ||
                    result.reason == relay::RelayReason::kQueueTimeout || result.reason == relay::RelayReason::kSuspect;
     const bool is_first = rejections_ == 0 && attempts_made_ == 0;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -127,6 +127,7 @@
 private:
     void sendToNext();
     void awaitInstance();
+    void onProbeRejected();
     void sendTo(const RelayTarget& target);
     [[nodiscard]] relay::RetryPolicy retryPolicy() const;
     [[nodiscard]] relay::RelayRequest relayRequest(const RelayTarget& target) const;
@@ -168,6 +169,7 @@
     bool is_counted_ = false;                    ///< A relay has counted the request among its service's requests.
     bool has_met_only_stopping_ = false;         ///< All relays so far rejected the request because they are stopping.
     bool has_waited_for_instance_ = false;
+    bool is_probe_ = false;  ///< The attempt in progress is at an instance whose state is unknown.
     bool may_have_run_ = false;
     std::optional<HttpResponse> failure_response_;  ///< An instance's 500; sent to the caller if no retry succeeds.
     bool is_overload_ = false;  ///< Last rejected for lack of capacity, or as a suspect that may not run yet.
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -7,8 +7,17 @@
 
 namespace {
 
-constexpr double kMinRate = 1e-3;      ///< Requests per second; avoids a division by zero.
-constexpr double kMinCapacity = 1e-3;  ///< Slots; avoids a division by zero.
+constexpr double kMinRate = 1e-3;         ///< Requests per second; avoids a division by zero.
+constexpr double kMinCapacity = 1e-3;     ///< Slots; avoids a division by zero.
+constexpr Duration kLimitMemory = 500ms;  ///< A reported limit is raised again within about this time.
+/// A relay leaves at most this part of the slots free; a lower limit is due to its connections or to a slow start.
+constexpr std::uint32_t kSlotsPerFreeSlot = 8;
+
+/// @return the slots that count as full utilization: fewer if a recent report says that the relay may use only those.
+double usableSlots(std::uint32_t slots, const relay::QueueLoad& load, Duration age) {
+    const bool is_limited = load.limit > 0 && load.limit + load.limit / kSlotsPerFreeSlot + 1 < slots;
+    return std::max<std::uint32_t>(1, is_limited && age <= kLimitMemory ? load.limit : slots);
+}
 
 }  // namespace
 
@@ -55,7 +64,7 @@
         std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(knobs_.load_decay.count()), 0.0, 1.0);
     const double reported_load = weight * (stats.load.running + stats.load.waiting);
     const double sent_since = stats.in_flight - weight * stats.in_flight_at_report;
-    const double slots = std::max<std::uint32_t>(1, candidate.record.instance().slots());
+    const double slots = usableSlots(candidate.record.instance().slots(), stats.load, age);
     const double in_flight = std::max(0.0, reported_load + sent_since);
     const bool is_limited = stats.load.rate_limit && age <= knobs_.rate_limit_memory;
     double cost = is_limited ? limitedUtilization(stats.load, in_flight, sent_since, age) : in_flight / slots;
@@ -97,13 +106,47 @@
                       fleet::NodeDirectory::isSuspected(*node)});
         }
     }
-    return best == nullptr ? chooseStopping(service, excluded) : targetAt(*best, false);
+    if (best != nullptr) {
+        return targetAt(*best, false);
+    }
+    auto stopping = chooseStopping(service, excluded);
+    return stopping.node.empty() ? chooseProbe(service, excluded) : stopping;
+}
+
+/// Different calls choose different relays, so that the first instance that is up again is found soon.
+RelayTarget RelaySelector::chooseProbe(const std::string& service, const std::set<std::string>& excluded) const {
+    std::vector<const wire::NodeRecord*> candidates;
+    const auto consider = [&](const wire::NodeRecord& record) {
+        const auto& instance = record.instance();
+        const bool is_unknown =
+            instance.state() == wire::INSTANCE_UNKNOWN && !instance.id().empty() && !known_signals_.isLeaving(instance);
+        if (is_unknown && instance.service() == service && !record.is_stopping() && !excluded.contains(record.name())) {
+            candidates.push_back(&record);
+        }
+    };
+    consider(directory_.self());
+    for (const auto* node : directory_.othersWithService(service)) {
+        if (fleet::NodeDirectory::isReachable(*node)) {
+            consider(node->record);
+        }
+    }
+    if (candidates.empty()) {
+        return {};
+    }
+    auto target = targetAt(*candidates[static_cast<std::size_t>(random_.below(candidates.size()))], false);
+    target.is_probe = true;
+    return target;
 }
 
 RelayTarget RelaySelector::targetAt(const wire::NodeRecord& record, bool is_stopping) const {
     const auto& instance = record.instance();
-    return {record.name(), record.address(), instance.id(), instance.born_ms(), known_signals_.rateLimitOf(instance),
-            is_stopping};
+    return {record.name(),
+            record.address(),
+            instance.id(),
+            instance.born_ms(),
+            known_signals_.rateLimitOf(instance),
+            is_stopping,
+            false};
 }
 
 bool RelaySelector::servesWhileStopping(const wire::NodeRecord& record, const std::string& service) const {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -39,6 +39,7 @@
     std::uint64_t instance_start_ms = 0;       ///< Start time of its incarnation; 0 if it is not known.
     std::optional<double> known_rate_limit{};  ///< Requests per second that the instance has named.
     bool is_stopping = false;                  ///< The relay is stopping, and the only choice.
+    bool is_probe = false;                     ///< The state of the instance is unknown, and no other one is ready.
 };
 
 /// Estimates the load of each relay from its last report and from what this node has sent since.
@@ -47,7 +48,8 @@
     RelaySelector(Clock& clock, RandomSource& random, const fleet::NodeDirectory& directory, SelectorKnobs knobs);
 
     /// Chooses the relay of least cost for a service. A stopping relay is chosen only if there is no other, so that a
-    /// rolling restart rejects no requests.
+    /// rolling restart rejects no requests; after these, one of those whose node is up and whose instance is in an
+    /// unknown state, at random.
     /// @param excluded names of nodes not to choose.
     /// @return a target with an empty node if there is none.
     RelayTarget choose(const std::string& service, const std::set<std::string>& excluded);
@@ -102,6 +104,7 @@
     [[nodiscard]] static double limitedUtilization(const relay::QueueLoad& load, double in_flight, double sent_since,
                                                    Duration age);
     [[nodiscard]] RelayTarget chooseStopping(const std::string& service, const std::set<std::string>& excluded) const;
+    [[nodiscard]] RelayTarget chooseProbe(const std::string& service, const std::set<std::string>& excluded) const;
 
     Clock& clock_;
     RandomSource& random_;
--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -127,6 +127,14 @@
     }
 }
 
+void LocalInstance::onReachable() {
+    onResponse();
+    if (isUnknown() && !record_.id().empty()) {
+        startContactTimer();
+        setState(wire::INSTANCE_READY);
+    }
+}
+
 void LocalInstance::onHostResumed() {
     if (isReady()) {
         last_contact_ = clock_.now();
--- a/src/instance/local_instance.h
+++ b/src/instance/local_instance.h
@@ -49,10 +49,14 @@
     /// The instance has said in a response that it is leaving: it counts as draining, whatever its heartbeats say.
     /// @return whether that is new.
     bool onLeaving();
-    /// The instance could not be reached: its state is unknown until its next heartbeat.
+    /// The instance could not be reached: its state is unknown until its next heartbeat or response.
     void onUnreachable();
     /// The instance has responded to a request: restarts the contact timeout.
     void onResponse() { last_contact_ = clock_.now(); }
+    /// The current incarnation has responded to a request. It is ready again if its state was unknown.
+    void onReachable();
+    /// @return when a heartbeat or a response arrived last.
+    [[nodiscard]] TimePoint lastContact() const { return last_contact_; }
     /// The host has resumed from suspension: restarts the contact timeout, as nothing could arrive meanwhile.
     void onHostResumed();
     /// Another instance than `expected` has responded at the address: `expected` counts as gone.
@@ -62,6 +66,7 @@
     [[nodiscard]] const wire::InstanceRecord& record() const { return record_; }
     /// Number of incarnations with a record here, including the current one.
     [[nodiscard]] std::size_t knownIncarnations() const { return incarnations_.size(); }
+    [[nodiscard]] bool isUnknown() const { return record_.state() == wire::INSTANCE_UNKNOWN; }
     [[nodiscard]] bool isReady() const { return record_.state() == wire::INSTANCE_READY; }
     /// @return whether calls for the instance `id` may be sent to the address.
     [[nodiscard]] bool acceptsCallsFor(const std::string& id) const { return isReady() && record_.id() == id; }
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr double kMinCapacity = 1e-3;  ///< Slots; avoids a division by zero.
+/// Calls that may run at an instance whose state is unknown, to find out whether it is up.
+constexpr std::size_t kMaxProbes = 2;
+/// Share of the demand that is reported as the capacity of an instance whose state is unknown: entries admit enough
+/// requests for its return to be noticed.
+constexpr double kProbeShare = 0.05;
 
 }  // namespace
 
@@ -28,6 +33,7 @@
       queue_(clock, knobs.queue),
       trials_(clock, knobs.trials, knobs.trial_gate),
       crash_detector_(clock, instances, instance_address_, knobs.crash_detector),
+      connections_(clock, log, instances, instance, queue_, instance_address_, [this] { return runCount(); }),
       runs_(clock, log, quarantine),
       signals_(clock, log, instance, queue_, names, knobs.disabled),
       route_detector_(clock, std::move(host_share)),
@@ -59,9 +65,11 @@
     return slots - std::max(least, slots / knobs_.slots_per_free_slot);
 }
 
-bool RelayService::accepts(const std::string& instance) const {
+bool RelayService::accepts(const Call& call) const {
+    const auto& instance = call.request.instance;
     const bool is_current = instance_.record().id() == instance;
-    return instance_.acceptsCallsFor(instance) || (knobs_.disabled.drain_check && is_current);
+    return instance_.acceptsCallsFor(instance) || (call.is_probe && canProbe(call)) ||
+           (knobs_.disabled.drain_check && is_current);
 }
 
 RelayReason RelayService::rejectionReason(const Call& call) {
@@ -69,7 +77,7 @@
     if (is_closed_ || (stop_deadline_ && !request.is_only_candidate)) {
         return RelayReason::kStopping;
     }
-    if (!accepts(request.instance)) {
+    if (!accepts(call)) {
         const bool is_current = instance_.record().id() == request.instance;
         return is_current ? RelayReason::kDraining : RelayReason::kOtherInstance;
     }
@@ -96,7 +104,10 @@
         quarantine_.markSuspect(call.fingerprint);
         trials_.gate().onInstanceCrashed();  // The request arrived before the notice of the crash.
     }
+    call.is_probe = canProbe(call) && probes_ < kMaxProbes;
+    probes_ += call.is_probe ? 1 : 0;
     if (const auto reason = rejectionReason(call); reason != RelayReason::kNone) {
+        countRejected(&call);
         rejectLater(id, reason);
         return id;
     }
@@ -127,7 +138,7 @@
     call.is_trial = true;
     if (quarantine_.state(call.fingerprint) == quarantine::QuarantineState::kQuarantined) {
         rejectLater(id, RelayReason::kQuarantined);
-    } else if (!accepts(call.request.instance)) {
+    } else if (!accepts(call)) {
         rejectLater(id, RelayReason::kDraining);
     } else {
         enterQueue(id);
@@ -171,9 +182,9 @@
     auto& call = *calls_[id];
     auto& request = call.request;
     const auto now = clock_.now();
-    const auto queue_request = queueRequestFor(&request);
-    call.ticket =
-        queue_.enter(queue_request, [this, id](InstanceQueue::Decision decision) { onQueueDecision(id, decision); });
+    call.queue_request = queueRequestFor(&request);
+    call.ticket = queue_.enter(call.queue_request,
+                               [this, id](InstanceQueue::Decision decision) { onQueueDecision(id, decision); });
     // A rejected request that another relay may still accept does not count as demand for this instance.
     const bool is_accepted = call.ticket != 0 || call.is_admitted;
     if (is_accepted || request.is_last_candidate) {
@@ -182,6 +193,12 @@
 }
 
 decision::ServiceLoad RelayService::serviceLoad(const decision::CountedArrival& reporting) {
+    if (instance_.isUnknown()) {
+        auto load = demand_.load(clock_.now(), {}, {}, reporting);
+        load.capacity = kProbeShare * load.demand;
+        load.busy = load.capacity;
+        return load;
+    }
     if (!instance_.isReady()) {
         return {};
     }
@@ -213,7 +230,7 @@
     }
     call.is_admitted = true;
     demand_.onRunning(clock_.now(), queue_.load().running);
-    if (!accepts(call.request.instance)) {
+    if (!accepts(call)) {
         rejectLater(id, RelayReason::kDraining);
     } else if (call.request.deadline - clock_.now() < knobs_.min_remaining) {
         rejectLater(id, RelayReason::kDeadline);
@@ -248,12 +265,14 @@
     if (isConnectionLost(result) && incarnation != crashed_incarnation_ &&
         incarnation == instance::incarnationName(instance_.record())) {
         suspected_incarnation_ = incarnation;
-        lost_attempts_.push_back({id, std::move(result)});
+        const bool was_reset_at_once = wasResetAtOnce(*calls_[id], result);
+        lost_attempts_.push_back({id, std::move(result), was_reset_at_once});
         crash_detector_.onConnectionLost(runs_.runningAt(incarnation));
         return;
     }
-    if (isConnectionRefused(result)) {
-        crash_detector_.onConnectionRefused();
+    if (result.outcome == AttemptOutcome::kNotSent) {
+        onConnectionFailed(id, std::move(result));
+        return;
     }
     if (result.outcome == AttemptOutcome::kResponded) {
         readSignals(calls_[id].get(), result.response);
@@ -278,31 +297,47 @@
     for (auto& it : lost_attempts) {
         if (const auto found = calls_.find(it.id); found != calls_.end()) {
             runs_.onConnectionLost(it.id);
+            found->second->attempt.reset();
+            if (it.was_reset_at_once && !has_crashed) {
+                connections_.onConnectionReset();
+            }
             finish(it.id, resultOf(*found->second, std::move(it.result)));
         }
     }
 }
 
-/// A new incarnation in place of one that did not announce its shutdown means that the previous one crashed, even if no
-/// connection was lost (e.g. by a power failure). If it started later, the previous one can send no more responses.
+/// Requests that an instance would have run before it was down are demand for the other instances.
 void RelayService::onInstanceChanged() {
     const auto& record = instance_.record();
     const auto incarnation = instance::incarnationName(record);
     if (incarnation != incarnation_) {
-        const auto previous = std::exchange(incarnation_, incarnation);
-        const auto previous_start_ms = std::exchange(start_ms_, record.born_ms());
-        signals_.onNewIncarnation();
-        if (!is_leaving_ && runs_.hasRuns(previous)) {
-            onCrash(previous);
-        }
-        if (previous_start_ms > 0 && record.born_ms() > previous_start_ms) {
-            failRunsOf(previous);
-        }
+        onIncarnationChanged(incarnation);
     }
     is_leaving_ = record.state() == wire::INSTANCE_DRAINING || record.state() == wire::INSTANCE_GONE;
     if (instance_.isReady()) {
-        crashed_incarnation_.clear();  // Also if it was this incarnation: its heartbeat proves that it is alive.
-        queue_.setLimit(limitFor(record.slots()));
+        crashed_incarnation_.clear();  // Also if it was this incarnation: it has been heard from, so that it is alive.
+        connections_.onReady(limitFor(record.slots()));
+    }
+    if (instance_.isUnknown()) {
+        demand_.restart(clock_.now());
+        rejectUnconnected();
+        connections_.onUnknown();
+    }
+}
+
+/// A new incarnation in place of one that did not announce its shutdown means that the previous one crashed, even if no
+/// connection was lost (e.g. by a power failure). If it started later, the previous one can send no more responses.
+void RelayService::onIncarnationChanged(const std::string& incarnation) {
+    const auto start_ms = instance_.record().born_ms();
+    const auto previous = std::exchange(incarnation_, incarnation);
+    const auto previous_start_ms = std::exchange(start_ms_, start_ms);
+    signals_.onNewIncarnation();
+    connections_.onNewIncarnation();
+    if (!is_leaving_ && runs_.hasRuns(previous)) {
+        onCrash(previous);
+    }
+    if (previous_start_ms > 0 && start_ms > previous_start_ms) {
+        failRunsOf(previous);
     }
 }
 
@@ -340,7 +375,7 @@
 /// Converts the result of an attempt. Logs `instance_failed` if the instance sent no response.
 RelayResult RelayService::resultOf(const Call& call, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kResponded) {
-        instance_.onResponse();
+        onInstanceResponded(call, result.response);
         return resultOfResponse(call, std::move(result.response));
     }
     RelayResult relayed;
@@ -352,9 +387,6 @@
         const bool is_quarantined = quarantine_.state(call.fingerprint) == quarantine::QuarantineState::kQuarantined;
         relayed.reason = is_quarantined ? RelayReason::kQuarantined : RelayReason::kInstanceCrashed;
     }
-    if (!relayed.was_sent) {
-        instance_.onUnreachable();
-    }
     log_.write(Event("instance_failed")
                    .with("request", call.request_id)
                    .with("peer", instance_address_)
@@ -461,6 +493,7 @@
         queue_.leave(time);
         demand_.onRunning(clock_.now(), queue_.load().running);
     }
+    probes_ -= call.is_probe ? 1 : 0;
     trials_.end(id, time);
 }
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -27,6 +27,7 @@
 #include "src/ports/reconnecting_sender.h"
 #include "src/quarantine/quarantine.h"
 #include "src/quarantine/run_tracker.h"
+#include "src/relay/connection_control.h"
 #include "src/relay/crash_detector.h"
 #include "src/relay/instance_queue.h"
 #include "src/relay/internal_route_detector.h"
@@ -108,7 +109,8 @@
     [[nodiscard]] std::uint64_t countedElsewhere() const { return retries_.countedElsewhere(); }
     /// Number of relays by which the slack of the retry budget is divided.
     [[nodiscard]] std::size_t retryRelayCount() { return retries_.relayCount(); }
-    /// @return the demand for the instance and its capacity, in slots; all zero while the instance is not ready.
+    /// @return the demand for the instance and its capacity, in slots. All zero while the instance is draining or gone;
+    /// while its state is unknown, there is hardly any capacity.
     /// @param reporting the request whose result carries the load, if any.
     [[nodiscard]] decision::ServiceLoad serviceLoad(const decision::CountedArrival& reporting = {});
     /// @return the learned calls that the instance makes, by the routes that it serves.
@@ -123,9 +125,12 @@
         InstanceNotice notice;    ///< About this incarnation.
         quarantine::Fingerprint fingerprint = 0;
         Callback callback;
-        std::uint64_t ticket = 0;  ///< Ticket in the queue; 0 if the call does not wait there.
-        bool is_trial = false;     ///< The request is the one suspect that may run.
-        bool is_admitted = false;  ///< The call holds a slot of the instance.
+        QueueRequest queue_request;   ///< Valid from when the call has entered the queue.
+        int connection_failures = 0;  ///< Connections that could not be opened for the call.
+        bool is_probe = false;        ///< The instance was not known to be up when the call arrived.
+        std::uint64_t ticket = 0;     ///< Ticket in the queue; 0 if the call does not wait there.
+        bool is_trial = false;        ///< The request is the one suspect that may run.
+        bool is_admitted = false;     ///< The call holds a slot of the instance.
         TimePoint sent_at{};
         decision::CountedArrival counted;    ///< As demand for the instance.
         decision::CallGraph::RunId run = 0;  ///< 0 before the request is sent.
@@ -134,8 +139,11 @@
     };
     /// @return how many of the slots may be used at once.
     [[nodiscard]] std::uint32_t limitFor(std::uint32_t slots) const;
-    /// @return whether calls for this instance id may be sent.
-    [[nodiscard]] bool accepts(const std::string& instance) const;
+    /// @return whether the call may be sent to the instance.
+    [[nodiscard]] bool accepts(const Call& call) const;
+    /// @return whether the call can show that the instance is up, whose state is unknown.
+    [[nodiscard]] bool canProbe(const Call& call) const;
+    void countRejected(Call* call);
     /// Takes a retry from the budget if the call is one. @return kNone if the call may proceed.
     [[nodiscard]] RelayReason rejectionReason(const Call& call);
     QueueRequest queueRequestFor(RelayRequest* request);
@@ -147,16 +155,24 @@
     void onQueueDecision(CallId id, InstanceQueue::Decision decision);
     void send(CallId id);
     void onAttemptEnded(CallId id, AttemptResult result);
+    void onConnectionFailed(CallId id, AttemptResult result);
+    void returnToQueue(CallId id, HttpRequest request);
+    void rejectUnconnected();
+    [[nodiscard]] bool wasResetAtOnce(const Call& call, const AttemptResult& result) const;
+    [[nodiscard]] std::size_t runCount() const;
     /// An attempt whose connection was lost; its result waits for the decision of the crash detector.
     struct LostAttempt {
         CallId id = 0;
         AttemptResult result;
+        bool was_reset_at_once = false;  ///< As by an instance that accepts no further connection.
     };
     void readSignals(Call* call, const HttpResponse& response);
     void onInstanceChanged();
+    void onIncarnationChanged(const std::string& incarnation);
     void onCrashDecided(bool has_crashed);
     void onCrash(const std::string& incarnation);
     void failRunsOf(const std::string& incarnation);
+    void onInstanceResponded(const Call& call, const HttpResponse& response);
     RelayResult resultOf(const Call& call, AttemptResult result);
     RelayResult resultOfResponse(const Call& call, HttpResponse response);
     void onRunEnded(const Call& call, bool is_complete);
@@ -175,6 +191,7 @@
     InstanceQueue queue_;
     SuspectTrials trials_;
     CrashDetector crash_detector_;
+    ConnectionControl connections_;
     quarantine::RunTracker runs_;
     SignalHandler signals_;
     SendTotals send_totals_;                  ///< Without the probes, which the crash detector counts.
@@ -192,6 +209,7 @@
     decision::UsualDeadlines deadlines_;
     std::optional<TimePoint> stop_deadline_;
     bool is_closed_ = false;
+    std::size_t probes_ = 0;  ///< Calls with `is_probe`.
     CallId last_id_ = 0;
     std::map<CallId, std::unique_ptr<Call>> calls_;
 };
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -14,6 +14,8 @@
 constexpr Duration kStopCheckInterval = 50ms;
 /// Bounds the demand weight of a request, which is the inverse of the admission ratio.
 constexpr double kMinAdmitRatio = 0.02;
+/// Reason of a call that no instance could take.
+constexpr std::string_view kNoInstanceReason = "no-instance";
 
 HttpResponse textResponse(int status, const std::string& text) {
     return makeResponse(status, "text/plain", text + "\n");
@@ -307,6 +309,10 @@
 /// Destroys the call from a timer, since its member functions are still on the stack.
 void SidecarNode::onCallEnded(CallId call_id, const entry::EntryReport& report) {
     signal_call_ended_.emit(report);
+    const bool found_instance = report.reason != kNoInstanceReason;
+    if (report.end == entry::EntryEnd::kResponded || !found_instance) {
+        bottlenecks_.onCallEnded(ports_.clock.now(), report.service, found_instance);
+    }
     if (!isSuccess(report.status) && bottlenecks_.isInternal(report.route)) {
         relay_.callGraph().onCallFailed(ports_.clock.now());
     }
--- a/tests/simulation/refused_connections_test.cc
+++ b/tests/simulation/refused_connections_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <string>
 
 #include "sim/sidecar_fleet.h"
@@ -29,13 +30,23 @@
     return options;
 }
 
+/// A small instance with long runs, for a large fleet at a rate that can be simulated.
+sim::InstanceOptions smallInstance() {
+    auto options = tests::instanceOptions("work", 700ms, 4);
+    options.max_connections = 4;
+    options.max_connections_full = 3;
+    return options;
+}
+
 /// A fleet of one service whose load has been a third of the capacity, and 1.2 of it for `kSurge`.
 struct SurgedFleet {
-    SurgedFleet(std::uint64_t seed, std::size_t instances, double rate_factor = 1)
-        : fleet(seed, {{boundedInstance(), instances}}) {
+    /// @param instance_rate requests per second that one instance can run.
+    SurgedFleet(std::uint64_t seed, std::size_t instances, const sim::InstanceOptions& instance = boundedInstance(),
+                double instance_rate = kInstanceRate)
+        : fleet(seed, {{instance, instances}}) {
         fleet.putTable("work", "work", "work");
         spreadHeartbeats(instances);
-        const double capacity = kInstanceRate * static_cast<double>(instances) * rate_factor;
+        const double capacity = instance_rate * static_cast<double>(instances);
         surge_end = fleet.queue().now() + 1s + kSurge;
         fleet.generateLoad(capacity / 3, surge_end + 7s);
         fleet.runFor(1s);
@@ -78,13 +89,19 @@
     }
 }
 
-void checkRecovery(std::size_t instances, std::uint64_t seed) {
+/// @param fault happens in the surge, while connections are refused.
+void checkRecovery(const std::string& name, std::size_t instances, std::uint64_t seed,
+                   const std::function<void(SurgedFleet*)>& fault = {}) {
     SurgedFleet surged(seed, instances);
+    surged.runUntil(surged.surge_end - 2s);
+    if (fault) {
+        fault(&surged);
+    }
     surged.runUntil(surged.surge_end + 8s);
-    const auto label = std::to_string(instances) + " instances, seed " + std::to_string(seed) + ": ";
+    const auto label = name + ", " + std::to_string(instances) + " instances, seed " + std::to_string(seed) + ": ";
     const double in_surge = servedShare(surged.fleet, surged.surge_end - kSurge, surged.surge_end);
     const double after = servedShare(surged.fleet, surged.surge_end + kRecovery, surged.surge_end + kRecovery + 4s);
-    BOOST_TEST(in_surge > 0.6, label << in_surge << " served in the surge");
+    BOOST_TEST(in_surge > (fault ? 0.4 : 0.7), label << in_surge << " served in the surge");
     BOOST_TEST(after == 1, label << after << " served after it");
     checkInvariants(surged.fleet, label);
 }
@@ -98,9 +115,121 @@
 BOOST_AUTO_TEST_CASE(all_is_served_again_soon_after_a_surge_in_which_connections_were_refused) {
     for (const std::size_t instances : {3U, 6U}) {
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            checkRecovery(instances, seed);
+            checkRecovery("no fault", instances, seed);
         }
     }
 }
 
+/// @return the time until the node of a machine counts its instance as down.
+Duration timeUntilDown(SurgedFleet* surged, std::size_t machine) {
+    const auto began = surged->fleet.queue().now();
+    const auto& directory = surged->fleet.node(machine)->directory();
+    while (directory.self().instance().state() == wire::INSTANCE_READY && surged->fleet.queue().now() < began + 2s) {
+        surged->fleet.runFor(1ms);
+    }
+    return surged->fleet.queue().now() - began;
+}
+
+void crashAndRestart(SurgedFleet* surged) {
+    surged->fleet.instance(0).crash();
+    const auto time = timeUntilDown(surged, 0);
+    BOOST_TEST(toMilliseconds(time) <= 25, "the crash was detected after " << toMilliseconds(time) << " ms");
+    surged->fleet.after(1500ms, [surged] { surged->fleet.instance(0).start(boundedInstance()); });
+}
+
+/// Nothing arrives at the instance any more, and it sends no heartbeat.
+void loseHost(SurgedFleet* surged) {
+    auto& fleet = surged->fleet;
+    auto& host = fleet.instance(0).host();
+    const auto setDark = [&fleet, &host](bool is_dark) {
+        fleet.network().setCut(fleet.host(0), host, is_dark);
+        fleet.network().setCut(host, fleet.host(0), is_dark);
+    };
+    host.freeze();
+    setDark(true);
+    const auto time = timeUntilDown(surged, 0);
+    BOOST_TEST(toMilliseconds(time) <= 700, "the dark host was detected after " << toMilliseconds(time) << " ms");
+    fleet.after(1s, [&host, setDark] {
+        setDark(false);
+        host.resume();
+    });
+}
+
+void restartRelay(SurgedFleet* surged) {
+    surged->fleet.killNode(0);
+    surged->fleet.after(500ms, [surged] { surged->fleet.startNode(0); });
+}
+
+struct Fault {
+    const char* name;
+    void (*begin)(SurgedFleet*);
+};
+
+/// Guards against a crash or a dark host that is taken for an instance at its connection limit, and against limits that
+/// outlive what they were learned from.
+BOOST_AUTO_TEST_CASE(all_is_served_again_if_something_fails_while_connections_are_refused) {
+    const Fault faults[] = {
+        {"instance crashes", crashAndRestart}, {"host goes dark", loseHost}, {"relay restarts", restartRelay}};
+    for (const auto& fault : faults) {
+        for (const std::size_t instances : {3U, 6U}) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                checkRecovery(fault.name, instances, seed, fault.begin);
+            }
+        }
+    }
+}
+
+/// Guards against a service whose instances are all counted as down, while they are up, until their next heartbeats.
+BOOST_AUTO_TEST_CASE(instances_that_all_counted_as_down_are_found_again_before_their_next_heartbeats) {
+    constexpr std::size_t kInstances = 3;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        sim::SidecarFleet fleet(seed, {{tests::instanceOptions("work", 20ms, kSlots), kInstances}});
+        fleet.putTable("work", "work", "work");
+        for (std::size_t index = 0; index < kInstances; ++index) {
+            fleet.instance(index).options().heartbeat_interval = 60s;
+        }
+        fleet.runFor(4s);
+        const auto begin = fleet.queue().now();
+        fleet.generateLoad(200, begin + 6s);
+        fleet.runFor(1s);
+        const auto setCut = [&fleet](bool is_cut) {
+            for (std::size_t index = 0; index < kInstances; ++index) {
+                fleet.network().setCut(fleet.host(index), fleet.instance(index).host(), is_cut);
+            }
+        };
+        setCut(true);
+        fleet.runFor(2s);
+        for (std::size_t index = 0; index < kInstances; ++index) {
+            BOOST_TEST(!fleet.node(index)->directory().self().instance().state());
+        }
+        setCut(false);
+        fleet.runFor(4s);
+        const double after = servedShare(fleet, begin + 4s, begin + 6s);
+        BOOST_TEST(after == 1,
+                   "seed " << seed << ": " << after << " served from 1 to 3 s after the links were restored");
+        checkInvariants(fleet, "seed " + std::to_string(seed) + ": ");
+    }
+}
+
+/// The same with a service of 300 instances. Each entry then hears so rarely from the service that some reject requests
+/// by an admission ratio of the surge, also without any refused connection (0.8 % in that time); these do not count
+/// here.
+BOOST_AUTO_TEST_CASE(all_is_served_again_soon_after_a_surge_at_300_instances) {
+    constexpr std::size_t kInstances = 300;
+    constexpr double kSmallInstanceRate = 5;
+    SurgedFleet surged(1, kInstances, smallInstance(), kSmallInstanceRate);
+    surged.runUntil(surged.surge_end + 6s);
+    const auto begin = surged.surge_end + kRecovery;
+    const double in_surge = servedShare(surged.fleet, surged.surge_end - kSurge, surged.surge_end);
+    const double after = servedShare(surged.fleet, begin, begin + 2s);
+    BOOST_TEST(in_surge > 0.7, in_surge << " served in the surge");
+    BOOST_TEST(after > 0.98, after << " served after it");
+    for (const auto& request : surged.fleet.requests()) {
+        const bool is_after = request->sent >= begin && request->sent < begin + 2s;
+        BOOST_TEST((!is_after || request->status == kHttpOk || request->body == "bottleneck\n"),
+                   request->id << ": " << request->status << ' ' << request->body);
+    }
+    checkInvariants(surged.fleet, "300 instances: ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/decision/bottleneck_view_test.cc
+++ b/tests/unit/decision/bottleneck_view_test.cc
@@ -135,4 +135,25 @@
     BOOST_TEST(bottleneckOf("order").admit_ratio == 1);
 }
 
+/// Guards against callers of a service that keep their rate while it has no running instance.
+BOOST_AUTO_TEST_CASE(calls_that_find_no_instance_lower_the_ratio_which_recovers_with_the_calls_that_find_one) {
+    report("order", "n1", {5, 20, 5}, 50ms);
+    const auto end_calls = [this](int count, bool found_instance) {
+        for (int call = 0; call < count; ++call) {
+            time.advance(5ms);
+            view.onCallEnded(time.clock.now(), "desk", found_instance);
+        }
+    };
+    end_calls(50, true);
+    BOOST_TEST(bottleneckOf("order").admit_ratio == 1);
+    end_calls(100, false);
+    BOOST_TEST(bottleneckOf("order").admit_ratio < 0.15);
+    BOOST_TEST(bottleneckOf("order").admit_ratio >= 0.1);
+    end_calls(200, true);
+    BOOST_TEST(bottleneckOf("order").admit_ratio > 0.95);
+    end_calls(100, false);
+    time.advance(2s);
+    BOOST_TEST(bottleneckOf("order").admit_ratio > 0.95);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/entry/relay_selector_test.cc
+++ b/tests/unit/entry/relay_selector_test.cc
@@ -124,4 +124,35 @@
     BOOST_TEST(!selector.choose("desk", {"a", "c"}).known_rate_limit.has_value());
 }
 
+// Guards against a service whose instances are all counted as down, and are in no use though they are up.
+BOOST_AUTO_TEST_CASE(instances_in_an_unknown_state_are_probed_only_if_there_is_no_other) {
+    const auto setState = [this](const std::string& name, wire::InstanceState state) {
+        auto record = recordOf(name, "north");
+        record.set_sequence(directory.find(name)->record.sequence() + 1);
+        record.mutable_instance()->set_state(state);
+        directory.merge(record);
+    };
+    setState("a", wire::INSTANCE_UNKNOWN);
+    setState("b", wire::INSTANCE_UNKNOWN);
+    BOOST_TEST(chosenCounts(200, "").at("c") == 200);
+    setState("c", wire::INSTANCE_DRAINING);
+    const auto probed = chosenCounts(200, "");
+    BOOST_TEST(probed.at("a") > 50);
+    BOOST_TEST(probed.at("b") > 50);
+    BOOST_TEST(!probed.contains("c"));
+    BOOST_TEST(selector.choose("desk", {}).is_probe);
+    BOOST_TEST(selector.relayCount("desk") == 0U);
+    directory.onUnreachable("a");  // Its node does not respond either.
+    BOOST_TEST(chosenCounts(20, "").at("b") == 20);
+    BOOST_TEST(selector.choose("desk", {"b"}).node.empty());
+}
+
+// Guards against a relay that looks idle while it may use only a few slots of an instance that has just returned.
+BOOST_AUTO_TEST_CASE(a_relay_that_may_use_few_slots_counts_as_full_when_these_are_in_use) {
+    selector.onLoad("a", {4, 0, 4, 50ms});
+    selector.onLoad("b", {12, 0, 19, 50ms});
+    selector.onLoad("c", {12, 0, 19, 50ms});
+    BOOST_TEST(selector.choose("desk", {}).node != "a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/instance/local_instance_test.cc
+++ b/tests/unit/instance/local_instance_test.cc
@@ -175,4 +175,20 @@
     BOOST_TEST(local.acceptsCallsFor("i1"));
 }
 
+// Guards against an instance that responds and is in no use until its next heartbeat.
+BOOST_AUTO_TEST_CASE(a_response_makes_an_unknown_instance_ready_again_but_not_a_draining_one) {
+    local.onReachable();
+    BOOST_TEST(!local.isReady());  // There has been no heartbeat yet.
+    local.onHeartbeat(beat("i1", 1));
+    local.onUnreachable();
+    BOOST_TEST(!local.isReady());
+    local.onReachable();
+    BOOST_TEST(local.isReady());
+    time.advance(9s);
+    BOOST_TEST(!local.isReady());
+    local.onHeartbeat(beat("i1", 2, true));
+    local.onReachable();
+    BOOST_TEST((local.record().state() == wire::INSTANCE_DRAINING));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
