Test that call trees are rejected while the service below them is down

Cause: with all instances of a service down, entries went on admitting call trees that could not complete.

Change: a simulation of three instances that call a service whose links are cut for 3 s.

--- a/tests/simulation/refused_connections_test.cc
+++ b/tests/simulation/refused_connections_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "sim/sidecar_fleet.h"
 #include "src/base/http_status.h"
@@ -211,6 +212,52 @@
     }
 }
 
+/// Three machines of a service for callers, each of whose runs makes four calls of "leaf", and three of "leaf". The
+/// leaves send no heartbeat for a minute after the first seconds.
+std::vector<sim::FleetService> callingFleet() {
+    auto browse = tests::instanceOptions("browse", 40ms, 60);
+    browse.internal_host = "inner.example";
+    browse.internal_calls = 4;
+    browse.fails_with_internal_call = true;
+    return {{browse, 3}, {tests::instanceOptions("leaf", 20ms, 20), 3}};
+}
+
+/// Guards against call trees that are admitted while no instance of a service that they need is up, so that the work
+/// of the services above is wasted.
+BOOST_AUTO_TEST_CASE(call_trees_are_rejected_at_their_entry_while_the_service_below_is_down) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        sim::SidecarFleet fleet(seed, callingFleet());
+        fleet.putTable("browse", "browse", "leaf");
+        const auto setLeavesCut = [&fleet](bool is_cut) {
+            for (std::size_t index = 3; index < 6; ++index) {
+                fleet.instance(index).options().heartbeat_interval = 60s;
+                fleet.network().setCut(fleet.host(index), fleet.instance(index).host(), is_cut);
+            }
+        };
+        setLeavesCut(false);
+        fleet.runFor(4s);
+        const auto begin = fleet.queue().now();
+        fleet.generateLoad(150, begin + 9s);
+        fleet.runFor(2s);
+        setLeavesCut(true);
+        fleet.runFor(3s);
+        setLeavesCut(false);
+        fleet.runFor(5s);
+        const auto isInOutage = [begin](TimePoint at) { return at >= begin + 3500ms && at < begin + 5s; };
+        const auto runs = std::count_if(fleet.runs().begin(), fleet.runs().end(), [&](const auto& run) {
+            return run.service == "browse" && isInOutage(run.began);
+        });
+        const auto requests = std::count_if(fleet.requests().begin(), fleet.requests().end(),
+                                            [&](const auto& request) { return isInOutage(request->sent); });
+        const double after = servedShare(fleet, begin + 7s, begin + 9s);
+        const auto label = "seed " + std::to_string(seed) + ": ";
+        BOOST_TEST(static_cast<double>(runs) < 0.4 * static_cast<double>(requests),
+                   label << runs << " runs above the service that is down, of " << requests << " requests");
+        BOOST_TEST(after > 0.99, label << after << " served from 2 to 4 s after it");
+        checkInvariants(fleet, label);
+    }
+}
+
 /// The same with a service of 300 instances. Each entry then hears so rarely from the service that some reject requests
 /// by an admission ratio of the surge, also without any refused connection (0.8 % in that time); these do not count
 /// here.
