--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -250,7 +250,9 @@
     auto deadline = call.request.deadline;
     call.run = call_graph_.onRunBegan(call.sent_at, call.request.route, call_context, &deadline);
     const auto time_left = deadline - call.sent_at;
-    ++(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
+    if (call.connection_failures == 0) {
+        ++(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
+    }
     runs_.onSent(id, {call.request_id, call.request.route, call.incarnation, call.fingerprint, call.is_trial});
     const bool may_run_twice = call.request.retry_policy == RetryPolicy::kAlways;
     request.headers.set(names_.expected_instance, call.request.instance);
--- a/src/relay/relay_service_connections.cc
+++ b/src/relay/relay_service_connections.cc
@@ -58,7 +58,6 @@
     runs_.onEnded(id);
     onRunEnded(call, false);
     call.run = 0;
-    --(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
     call.sent_at = {};
     call.is_admitted = false;
     queue_.onNotSent();
