Admit by the retries that call trees need where the budget is scarce

Cause: while each instance of a service rejects 55 % of its arrivals, a tree of eight calls completes with a probability below 0.01 on the retries that the budget allows (0.16 per first attempt). Admission looked at slots only, so entries began these trees, and their executions upstream were wasted.

Change, all behind overload.retry_admission except the metric: - decision::RetryDemand measures rejections, failures and first attempts at the relay; the service load reports retry demand, retry capacity and first attempts, all for the requests before admission. - BottleneckView takes the scarcer of slots and retries and adds up the calls that one request makes at the bottleneck. - decision::RetryAdmission divides the retries by rank, then by calls, and cuts kinds of requests that would hardly complete to probes of 5 %. The share of calls that must not be retried travels with the call context. - Entries ask for these retries also while the service counts as overloaded; relays reserve a part for calls of trees in progress. While an instance rejects, first attempts of the second before allow no retries: admission cuts the first attempts at once, and a window of 10 s exceeded the limit. - Metric dewcrank_wasted_executions by route and bottleneck.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -125,6 +125,14 @@
              static_cast<double>(stats.instance_connections_total));
     setGauge("dewcrank_log_lines_dropped", "Lines that their reader did not take.",
              static_cast<double>(stats.log_lines_dropped));
+    for (const auto& [key, count] : node.counters().wasted_executions) {
+        prometheus::BuildGauge()
+            .Name("dewcrank_wasted_executions")
+            .Help("Failures of the instance that a failed call of it explains, since the start.")
+            .Register(registry_)
+            .Add({{"route", key.first}, {"bottleneck", key.second}})
+            .Set(static_cast<double>(count));
+    }
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/decision/bottleneck_view.cc
+++ b/src/decision/bottleneck_view.cc
@@ -42,6 +42,7 @@
     }
     const auto [found, is_new] = route->downstream.try_emplace(downstream.service);
     updateAverage(&found->second.cost, toSeconds(downstream.cost), is_new);
+    updateAverage(&found->second.calls, downstream.calls, is_new);
     found->second.reported_share = is_new ? 1 : found->second.reported_share;
 }
 
@@ -74,50 +75,71 @@
     const auto age = service.last_ratio_report ? toSeconds(now - *service.last_ratio_report)
                                                : std::numeric_limits<double>::infinity();
     const double weight = std::max(knobs_.report_weight, 1 - std::exp(-age / toSeconds(knobs_.ratio_averaging_time)));
-    service.reported_ratio += (downstream.admit_ratio - service.reported_ratio) * weight;
+    auto& reported = service.reported;
+    reported.slots += (downstream.admit_ratio - reported.slots) * weight;
+    reported.retries += (downstream.retry_ratio - reported.retries) * weight;
+    reported.retries_per_call += (downstream.retries_per_call - reported.retries_per_call) * weight;
     service.last_ratio_report = now;
 }
 
 /// Holds a ratio for `report_ttl` after its report, then raises it linearly to 1 over the same time.
-double BottleneckView::decayTowardOne(TimePoint now, TimePoint last_report, double admit_ratio) const {
+BottleneckView::Ratios BottleneckView::decayTowardOne(TimePoint now, TimePoint last_report,
+                                                      const Ratios& ratios) const {
     const double age = toSeconds(now - last_report) / toSeconds(knobs_.report_ttl);
-    return admit_ratio + (1 - admit_ratio) * std::clamp(age - 1, 0.0, 1.0);
+    const double decayed = std::clamp(age - 1, 0.0, 1.0);
+    return {ratios.slots + (1 - ratios.slots) * decayed, ratios.retries + (1 - ratios.retries) * decayed,
+            ratios.retries_per_call * (1 - decayed)};
 }
 
 /// Uses the loads that the service's relays report to this node, or the ratios that other nodes report if these loads
 /// are outdated.
-double BottleneckView::admitRatioOf(TimePoint now, const std::string& service) const {
+BottleneckView::Ratios BottleneckView::ratiosOf(TimePoint now, const std::string& service) const {
     const auto found = services_.find(service);
     if (found == services_.end()) {
-        return 1;
+        return {};
     }
     const auto& it = found->second;
     const bool has_own_report =
         it.last_report && (!it.last_ratio_report || now - *it.last_report <= knobs_.report_ttl ||
                            *it.last_report > *it.last_ratio_report);
     if (has_own_report) {
-        return decayTowardOne(now, *it.last_report, it.sum.admitRatio());
+        return decayTowardOne(now, *it.last_report,
+                              {it.sum.admitRatio(), it.sum.retryAdmitRatio(), it.sum.retriesPerCall()});
     }
-    return it.last_ratio_report ? decayTowardOne(now, *it.last_ratio_report, it.reported_ratio) : 1;
+    return it.last_ratio_report ? decayTowardOne(now, *it.last_ratio_report, it.reported) : Ratios{};
+}
+
+Bottleneck BottleneckView::bottleneckAt(TimePoint now, const std::string& service, const Cost& cost) const {
+    const auto ratios = ratiosOf(now, service);
+    Bottleneck result{service, ratios.slots, fromSeconds(cost.time)};
+    result.calls = cost.calls;
+    if (knobs_.includes_retries) {
+        result.scarce = ratios.retries < ratios.slots ? Resource::kRetries : Resource::kSlots;
+        result.retry_ratio = ratios.retries;
+        result.retries_per_call = ratios.retries_per_call;
+    }
+    return result;
 }
 
 BottleneckView::Costs BottleneckView::costsOf(const Route& route) const {
     Costs costs;
     for (const auto& [service, it] : route.downstream) {
         if (it.reported_share >= knobs_.min_reported_share) {
-            costs[service] = it.cost;
+            costs[service] = {it.cost, it.calls};
         }
     }
-    costs[route.service] += route.time;
+    auto& own = costs[route.service];
+    own.time += route.time;
+    own.calls += 1;
     return costs;
 }
 
 Bottleneck BottleneckView::lowestAmong(TimePoint now, const Costs& costs) const {
     Bottleneck lowest;
     for (const auto& [service, cost] : costs) {
-        const double admit_ratio = admitRatioOf(now, service);
-        if (lowest.service.empty() || admit_ratio < lowest.admit_ratio) {
-            lowest = {service, admit_ratio, fromSeconds(cost)};
+        const auto candidate = bottleneckAt(now, service, cost);
+        if (lowest.service.empty() || candidate.lowestRatio() < lowest.lowestRatio()) {
+            lowest = candidate;
         }
     }
     return lowest;
@@ -136,7 +158,9 @@
         }
         const double calls = graph.callsPerRun(route, callee).value_or(1);
         for (const auto& [service, cost] : costsOf(it)) {
-            sum[service] += calls * cost;
+            auto& total = sum[service];
+            total.time += calls * cost.time;
+            total.calls += calls * cost.calls;
         }
     }
     return lowestAmong(now, sum);
@@ -150,9 +174,9 @@
 Bottleneck BottleneckView::worstBottleneck(TimePoint now) const {
     Bottleneck lowest;
     for (const auto& [service, it] : services_) {
-        const double admit_ratio = admitRatioOf(now, service);
-        if (lowest.service.empty() || admit_ratio < lowest.admit_ratio) {
-            lowest = {service, admit_ratio, {}};
+        const auto candidate = bottleneckAt(now, service, {});
+        if (lowest.service.empty() || candidate.lowestRatio() < lowest.lowestRatio()) {
+            lowest = candidate;
         }
     }
     return lowest;
--- a/src/decision/bottleneck_view.h
+++ b/src/decision/bottleneck_view.h
@@ -14,11 +14,24 @@
 
 namespace dewcrank::decision {
 
-/// The service with the lowest admission ratio among those that a route's requests use.
+/// What limits how many requests a service can complete.
+enum class Resource {
+    kSlots,    ///< Slot time of its instances.
+    kRetries,  ///< Its retry budget, while its instances reject a part of their arrivals.
+};
+
+/// The service with the lowest admission ratio, of either resource, among those that a route's requests use.
 struct Bottleneck {
     std::string service;     ///< Empty if none is known.
-    double admit_ratio = 1;  ///< Share of the requests to admit, from 0 to 1.
+    double admit_ratio = 1;  ///< Share of the requests to admit by their slot time, from 0 to 1.
     Duration cost{};         ///< Slot time at the service that one request needs, summed over all of its calls.
+    Resource scarce = Resource::kSlots;
+    double retry_ratio = 1;       ///< Share of the retries that requests need which the budget allows, from 0 to 1.
+    double retries_per_call = 0;  ///< Retries that one call needs there on average; 0 if unknown.
+    double calls = 0;             ///< Calls that one request makes there; 0 if unknown.
+
+    /// @return the ratio of the scarce resource.
+    [[nodiscard]] double lowestRatio() const { return scarce == Resource::kRetries ? retry_ratio : admit_ratio; }
 };
 
 /// A service whose admission ratio is at least this counts as not overloaded.
@@ -45,6 +58,7 @@
     Duration ratio_averaging_time = 100ms;
     double min_reported_share = 0.5;     ///< A route uses a service if at least this share of reports names it.
     double reported_share_weight = 0.1;  ///< Weight of one report in that share.
+    bool includes_retries = false;       ///< Retries count as a resource; `OverloadFeatures::retry_admission`.
 };
 
 /// Keeps one estimate per service, whichever relay or route it was reported through: the summed load of the
@@ -66,6 +80,12 @@
     [[nodiscard]] Bottleneck worstBottleneck(TimePoint now) const;
 
 private:
+    /// Admission ratios of a service, and the retries that one call needs there.
+    struct Ratios {
+        double slots = 1;
+        double retries = 1;
+        double retries_per_call = 0;
+    };
     struct RelayLoad {
         ServiceLoad load;
         TimePoint last_report{};
@@ -75,12 +95,13 @@
         ServiceLoad sum;                          ///< Sum of the loads in `relays`.
         TimePoint last_eviction{};
         std::optional<TimePoint> last_report;  ///< Time of the last report by one of its relays.
-        double reported_ratio = 1;             ///< Moving average of the ratios that other nodes report.
+        Ratios reported;                       ///< Moving averages of what other nodes report.
         std::optional<TimePoint> last_ratio_report;
     };
     /// What the calls of a route need of one service.
     struct DownstreamCost {
         double cost = 0;            ///< Slot time of all these calls, in seconds.
+        double calls = 0;           ///< Number of these calls.
         double reported_share = 0;  ///< Share of the reports that name the service.
     };
     struct Route {
@@ -90,14 +111,19 @@
         std::map<std::string, DownstreamCost> downstream;  ///< By service.
         TimePoint last_report{};
     };
-    /// Slot time by service, in seconds.
-    using Costs = std::map<std::string, double>;
+    /// What a request needs of one service.
+    struct Cost {
+        double time = 0;  ///< Slot time in seconds.
+        double calls = 0;
+    };
+    using Costs = std::map<std::string, Cost>;  ///< By service.
 
     void onRelayLoad(TimePoint now, Service* service, const std::string& relay, const ServiceLoad& load) const;
     void evictStale(TimePoint now, Service* service) const;
     void onReportedRatio(TimePoint now, const Bottleneck& downstream);
-    [[nodiscard]] double admitRatioOf(TimePoint now, const std::string& service) const;
-    [[nodiscard]] double decayTowardOne(TimePoint now, TimePoint last_report, double admit_ratio) const;
+    [[nodiscard]] Ratios ratiosOf(TimePoint now, const std::string& service) const;
+    [[nodiscard]] Ratios decayTowardOne(TimePoint now, TimePoint last_report, const Ratios& ratios) const;
+    [[nodiscard]] Bottleneck bottleneckAt(TimePoint now, const std::string& service, const Cost& cost) const;
     void updateDownstream(Route* route, const Bottleneck& downstream) const;
     [[nodiscard]] Costs costsOf(const Route& route) const;
     [[nodiscard]] Bottleneck lowestAmong(TimePoint now, const Costs& costs) const;
--- a/src/decision/call_graph.cc
+++ b/src/decision/call_graph.cc
@@ -86,6 +86,7 @@
     ++route.running;
     route.sum.retry_probability += call_context.retry_probability;
     route.sum.demand_weight += call_context.demand_weight;
+    route.sum.no_retry_share += call_context.no_retry_share;
     const auto id = ++last_id_;
     auto& run = runs_[id] = {route_name, call_context, now, *deadline, true, {}};
     markDeadlineCollisions(&run);
@@ -112,6 +113,7 @@
     --route.running;
     route.sum.retry_probability -= run.call_context.retry_probability;
     route.sum.demand_weight -= run.call_context.demand_weight;
+    route.sum.no_retry_share -= run.call_context.no_retry_share;
     if (route.running == 0) {
         route.sum = {0, 0};  // Removes accumulated rounding errors.
     }
@@ -173,12 +175,14 @@
             weight += calls * route.running;
             sum.retry_probability += calls * route.sum.retry_probability;
             sum.demand_weight += calls * route.sum.demand_weight;
+            sum.no_retry_share += calls * route.sum.no_retry_share;
         }
     }
     if (weight <= 0) {
         return {};
     }
-    return {std::clamp(sum.retry_probability / weight, 0.0, 1.0), std::max(1.0, sum.demand_weight / weight)};
+    return {std::clamp(sum.retry_probability / weight, 0.0, 1.0), std::max(1.0, sum.demand_weight / weight),
+            std::clamp(sum.no_retry_share / weight, 0.0, 1.0)};
 }
 
 /// Uses the latest failed call: older ones have more probably caused an earlier response.
--- a/src/decision/call_graph.h
+++ b/src/decision/call_graph.h
@@ -24,6 +24,7 @@
 struct CallContext {
     double retry_probability = 0;  ///< Probability that the request was a retry, from 0 to 1.
     double demand_weight = 1;      ///< Requests that arrived at entries per admitted request; at least 1.
+    double no_retry_share = 0;     ///< Share of the calls that must not be retried, from 0 to 1.
 };
 
 /// Constants of the estimate.
--- a/src/decision/instance_demand.cc
+++ b/src/decision/instance_demand.cc
@@ -8,6 +8,7 @@
 
 constexpr double kInitialTime = 0.05;  ///< Slot time in seconds assumed for a route without a response.
 constexpr double kMinWindow = 0.3;     ///< Seconds; rates over a shorter time are too noisy.
+constexpr double kMinRate = 1e-6;      ///< Per second; avoids a division by zero.
 constexpr double kMinSlots = 1e-6;     ///< Avoids a division by zero.
 /// Shares of the slots in use: up to the first a service counts as no bottleneck, from the second on as one.
 constexpr double kIdleUtilization = 0.5;
@@ -19,6 +20,9 @@
     demand += other.demand;
     capacity += other.capacity;
     busy += other.busy;
+    retry_demand += other.retry_demand;
+    retry_capacity += other.retry_capacity;
+    first_attempts += other.first_attempts;
     return *this;
 }
 
@@ -26,6 +30,9 @@
     demand -= other.demand;
     capacity -= other.capacity;
     busy -= other.busy;
+    retry_demand -= other.retry_demand;
+    retry_capacity -= other.retry_capacity;
+    first_attempts -= other.first_attempts;
     return *this;
 }
 
@@ -40,6 +47,14 @@
     return admit_ratio + (1 - admit_ratio) * idle;
 }
 
+double ServiceLoad::retryAdmitRatio() const {
+    return retry_demand <= retry_capacity ? 1 : std::max(0.0, retry_capacity) / retry_demand;
+}
+
+double ServiceLoad::retriesPerCall() const {
+    return first_attempts > kMinRate ? std::max(0.0, retry_demand) / first_attempts : 0;
+}
+
 InstanceDemand::Span& InstanceDemand::spanAt(TimePoint now) {
     const auto number = spanNumber(now);
     auto& span = spans_[static_cast<std::size_t>(number) % spans_.size()];
--- a/src/decision/instance_demand.h
+++ b/src/decision/instance_demand.h
@@ -14,15 +14,22 @@
 
 /// Load of one instance, or of all instances of a service, in slots.
 struct ServiceLoad {
-    double demand = 0;    ///< Slots that all requests would need if none were rejected upstream.
-    double capacity = 0;  ///< Slots that new requests may use.
-    double busy = 0;      ///< Slots in use, mean over the window.
+    double demand = 0;          ///< Slots that all requests would need if none were rejected upstream.
+    double capacity = 0;        ///< Slots that new requests may use.
+    double busy = 0;            ///< Slots in use, mean over the window.
+    double retry_demand = 0;    ///< Retries per second that all requests would need if none were rejected upstream.
+    double retry_capacity = 0;  ///< Retries per second that the retry budget would allow them.
+    double first_attempts = 0;  ///< First attempts per second if no request were rejected upstream; 0: unknown.
 
     ServiceLoad& operator+=(const ServiceLoad& other);
     ServiceLoad& operator-=(const ServiceLoad& other);
     /// @return the share of the requests to admit upstream, from 0 to 1. It is 1 while many slots are free: another
     /// bottleneck then limits the load of this service.
     [[nodiscard]] double admitRatio() const;
+    /// @return the share of the retries that the requests need which the budget allows, from 0 to 1.
+    [[nodiscard]] double retryAdmitRatio() const;
+    /// @return retries that one call needs on average until an instance accepts it; 0 if unknown.
+    [[nodiscard]] double retriesPerCall() const;
 };
 
 /// What bounds the requests of one instance.
--- a/src/decision/retry_budget.cc
+++ b/src/decision/retry_budget.cc
@@ -66,26 +66,27 @@
 
 /// True if one more retry fits into every span that ends now. No steps are carried into a span of a complete window:
 /// older ones have been dropped.
-bool RetryBudget::hasCapacity(std::size_t relays, double slack_share) const {
+bool RetryBudget::hasCapacity(const RetryShare& share) const {
+    const auto carry_over = share.includes_carry_over ? kCarryOverSteps : 0;
     double retries = 1;
     double first_attempts = 0;
     auto carried = steps_.rbegin();
     for (auto it = steps_.rbegin(); it != steps_.rend(); ++it) {
         retries += it->retries;
-        for (; carried != steps_.rend() && carried->number >= it->number - kCarryOverSteps; ++carried) {
+        for (; carried != steps_.rend() && carried->number >= it->number - carry_over; ++carried) {
             first_attempts += carried->first_attempts;
         }
-        const double slack = slack_share * slackSince(*it, relays);
-        if (retries > kUsableShare * (limit_.ratio * first_attempts + slack)) {
+        const double slack = share.slack_share * slackSince(*it, share.relays);
+        if (retries > share.budget_share * kUsableShare * (limit_.ratio * first_attempts + slack)) {
             return false;
         }
     }
     return true;
 }
 
-bool RetryBudget::tryRetry(TimePoint now, std::size_t relays, double slack_share) {
+bool RetryBudget::tryRetry(TimePoint now, const RetryShare& share) {
     auto& step = currentStep(now);
-    if (!hasCapacity(relays, slack_share)) {
+    if (!hasCapacity(share)) {
         ++totals_.denied;
         return false;
     }
@@ -94,6 +95,10 @@
     return true;
 }
 
+double RetryBudget::capacityPerSecond(double first_attempts_per_second, std::size_t relays) const {
+    return kUsableShare * (limit_.ratio * first_attempts_per_second + slackPerRelay(relays) / toSeconds(limit_.window));
+}
+
 RetryWindow RetryBudget::window(TimePoint now, std::size_t relays) {
     currentStep(now);
     RetryWindow window;
--- a/src/decision/retry_budget.h
+++ b/src/decision/retry_budget.h
@@ -31,6 +31,14 @@
     double allowed = 0;   ///< Retries within the relay's part of the limit, without the safety margin.
 };
 
+/// What one retry may use of a relay's budget.
+struct RetryShare {
+    std::size_t relays = 1;           ///< Number of relays that share the slack.
+    double slack_share = 1;           ///< Usable share, from 0 to 1, of this relay's part of the slack.
+    double budget_share = 1;          ///< Usable share, from 0 to 1, of the whole budget; the rest is reserved.
+    bool includes_carry_over = true;  ///< First attempts before a span allow retries in it.
+};
+
 /// One relay's part of a service's retry budget, kept without messages between relays.
 ///
 /// Invariant: in every span of time up to a window, the relay's retries stay within the ratio of its first attempts
@@ -51,7 +59,14 @@
     /// @param relays        number of relays that share the slack.
     /// @param slack_share   usable share, from 0 to 1, of this relay's part of the slack.
     /// @return true if the retry is granted, false if the budget is exhausted.
-    bool tryRetry(TimePoint now, std::size_t relays, double slack_share);
+    bool tryRetry(TimePoint now, std::size_t relays, double slack_share) {
+        return tryRetry(now, {relays, slack_share});
+    }
+    /// Takes one retry from a part of the budget.
+    bool tryRetry(TimePoint now, const RetryShare& share);
+    /// @return retries per second that the budget allows for a lasting rate of first attempts: their ratio, and the
+    /// slack spread over its window.
+    [[nodiscard]] double capacityPerSecond(double first_attempts_per_second, std::size_t relays) const;
     /// @return the counts since the start.
     [[nodiscard]] const RetryTotals& totals() const { return totals_; }
     /// @return the counts of the window that ends now. @param relays as for `tryRetry`.
@@ -65,7 +80,7 @@
         double retries = 0;
     };
     Step& currentStep(TimePoint now);
-    [[nodiscard]] bool hasCapacity(std::size_t relays, double slack_share) const;
+    [[nodiscard]] bool hasCapacity(const RetryShare& share) const;
     [[nodiscard]] double slackSince(const Step& begin, std::size_t relays) const;
     [[nodiscard]] double slackPerRelay(std::size_t relays) const;
 
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -239,6 +239,7 @@
         is_quarantined_ || result.reason == relay::RelayReason::kRetryBudget ||
         result.reason == relay::RelayReason::kDeadline ||
         (result.reason != relay::RelayReason::kSuperseded && ++rejections_ >= services_.knobs.max_rejections) ||
+        (result.reason == relay::RelayReason::kInstanceRefused && !plan_.may_retry) ||
         attempts_made_ >= plan_.route->max_attempts();
     if (is_final) {
         fail(relay::reasonText(result.reason), false);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -54,6 +54,7 @@
     TimePoint deadline{};                ///< The caller receives its response by this time.
     Duration caller_timeout{};           ///< Timeout that the caller sent, or else that of the route.
     decision::CallContext call_context;  ///< Inherited from the run that makes this call.
+    bool may_retry = true;               ///< False if admission keeps the retries of the service for other calls.
 };
 
 /// Dependencies of calls; they outlive every call.
--- a/src/relay/relay_retries.h
+++ b/src/relay/relay_retries.h
@@ -8,7 +8,9 @@
 
 #include "src/base/recent_maximum.h"
 #include "src/decision/call_graph.h"
+#include "src/decision/instance_demand.h"
 #include "src/decision/retry_budget.h"
+#include "src/decision/retry_demand.h"
 #include "src/ports/clock.h"
 #include "src/relay/relay_message.h"
 
@@ -19,7 +21,10 @@
 class RelayRetries {
 public:
     /// @param graph of the calls that the instance makes. @param limit retry limit of the whole service.
-    RelayRetries(Clock& clock, const decision::CallGraph& graph, decision::RetryLimit limit);
+    /// @param measures_demand see `OverloadFeatures::retry_admission`: retries are measured as a resource, and those
+    /// that rejections need are kept for the calls of trees in progress first.
+    RelayRetries(Clock& clock, const decision::CallGraph& graph, decision::RetryLimit limit,
+                 bool measures_demand = false);
 
     /// @param count number of relays that accept requests of the service. The slack is divided by the maximum over the
     /// last window, as relays that have gone or are stopping may have spent their parts.
@@ -28,10 +33,15 @@
     void count(const RelayRequest& request);
     /// Takes a retry that was not granted before from the budget. @return false if the budget denies the retry; true
     /// for every first attempt.
-    bool mayRetry(const RelayRequest& request);
+    /// @param has_begun   the request is a call of a tree in progress.
+    bool mayRetry(const RelayRequest& request, bool has_begun = false);
     /// Grants the retry of a request that failed here from the budget of this relay, so that one failing instance can
     /// use all of its relay's budget. @return whether the retry is granted.
-    bool payForRetry(const RelayRequest& request, const RelayResult& result);
+    bool payForRetry(const RelayRequest& request, const RelayResult& result, bool has_begun = false);
+    /// Registers the result of a request that was sent to the instance.
+    void onSentEnded(const RelayResult& result);
+    /// Adds the demand for retries and their capacity to the load of the instance.
+    void addTo(decision::ServiceLoad* load);
 
     [[nodiscard]] const decision::RetryTotals& totals() const { return budget_.totals(); }
     [[nodiscard]] decision::RetryWindow window() { return budget_.window(clock_.now(), relayCount()); }
@@ -41,12 +51,14 @@
     [[nodiscard]] std::size_t relayCount() { return relay_count_.at(clock_.now()); }
 
 private:
-    bool takeFromBudget(const std::string& route);
+    bool takeFromBudget(const std::string& route, bool has_begun);
     [[nodiscard]] double slackShare(const std::string& route) const;
 
     Clock& clock_;
     const decision::CallGraph& graph_;
     decision::RetryBudget budget_;
+    decision::RetryDemand demand_{{}};
+    bool measures_demand_;
     RecentMaximum relay_count_;
     std::uint64_t counted_elsewhere_ = 0;
 };
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -33,7 +33,7 @@
       route_detector_(clock, std::move(host_share)),
       demand_(knobs.demand),
       call_graph_(knobs.call_graph),
-      retries_(clock, call_graph_, knobs.retry_limit) {
+      retries_(clock, call_graph_, knobs.retry_limit, knobs.retry_admission) {
     instance_.signalChanged().connect([this] { onInstanceChanged(); });
     crash_detector_.signalProbing().connect([this] { queue_.onSentBeside(); });
     signals_.signalRateLimitChanged().connect([this] { demand_.restart(clock_.now()); });
@@ -76,7 +76,8 @@
     if (quarantine_.state(call.fingerprint) == quarantine::QuarantineState::kQuarantined) {
         return RelayReason::kQuarantined;
     }
-    const bool may_retry = knobs_.disabled.retry_budget_check || retries_.mayRetry(request);
+    const bool may_retry =
+        knobs_.disabled.retry_budget_check || retries_.mayRetry(request, route_detector_.isInternal(request.route));
     return may_retry ? RelayReason::kNone : RelayReason::kRetryBudget;
 }
 
@@ -186,7 +187,10 @@
         return {};
     }
     const auto load = queue_.load();
-    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting, reporting);
+    auto service_load =
+        demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting, reporting);
+    retries_.addTo(&service_load);
+    return service_load;
 }
 
 SendTotals RelayService::sendTotals() const {
@@ -414,7 +418,10 @@
         demand_.onResponse(call.request.route, time);
     }
     leaveQueues(id, call, time);
-    result.is_retry_paid = retries_.payForRetry(call.request, result);
+    if (result.was_sent) {
+        retries_.onSentEnded(result);
+    }
+    result.is_retry_paid = retries_.payForRetry(call.request, result, route_detector_.isInternal(call.request.route));
     result.load = queue_.load();
     result.has_load = true;
     result.notice = noticeFor(call);
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -12,13 +12,16 @@
 /// Header of a request. Fields: name and table version of the sender, instance, route, priority, is_retry,
 /// is_last_candidate, remaining time and max_wait in microseconds, retry probability and demand weight in thousandths,
 /// is_counted, is_suspect, retry policy, is_retry_paid, is_only_candidate, start time of the instance, its known rate
-/// limit.
+/// limit, share of the calls that must not be retried in thousandths.
 constexpr std::string_view kRequestHeader = "dewcrank-relay-call";
 /// Header of a response. Fields: name and table version of the sender, outcome, reason, was_sent, running, waiting,
 /// limit, mean service time in microseconds, kind of the route, demand, capacity and busy slots in thousandths, slot
 /// time of the route in microseconds, bottleneck of its calls, admission ratio of that in thousandths and cost in
 /// microseconds, failed_downstream, 0 or the age of the sender's table in microseconds plus one, is_retry_paid, start
-/// time of the instance, is_leaving, is_rate_limit_known, rate limit of the instance, wait for it in microseconds.
+/// time of the instance, is_leaving, is_rate_limit_known, rate limit of the instance, wait for it in microseconds,
+/// pace in thousandths and its age in milliseconds (both 0: unknown), demand and capacity of retries and first attempts
+/// per second, all three in thousandths; at the bottleneck of the route's calls: ratio of retries, retries per call
+/// and calls, all three in thousandths.
 constexpr std::string_view kResultHeader = "dewcrank-relay-result";
 constexpr double kThousand = 1000;
 /// Kind of a route: whether external callers or only instances call it, or not enough requests to tell.
@@ -104,6 +107,24 @@
     return report;
 }
 
+void writeRetries(FieldWriter* fields, const decision::RouteReport& report) {
+    fields->add(toThousandths(report.load.retry_demand)).add(toThousandths(report.load.retry_capacity));
+    fields->add(toThousandths(report.load.first_attempts)).add(toThousandths(report.downstream.retry_ratio));
+    fields->add(toThousandths(report.downstream.retries_per_call)).add(toThousandths(report.downstream.calls));
+}
+
+/// Nodes of earlier versions send none of these fields. A ratio without calls is therefore unknown.
+void readRetries(FieldReader* fields, decision::RouteReport* report) {
+    report->load.retry_demand = fromThousandths(fields->number());
+    report->load.retry_capacity = fromThousandths(fields->number());
+    report->load.first_attempts = fromThousandths(fields->number());
+    auto& downstream = report->downstream;
+    const double retry_ratio = fromThousandths(fields->number());
+    downstream.retries_per_call = fromThousandths(fields->number());
+    downstream.calls = fromThousandths(fields->number());
+    downstream.retry_ratio = downstream.calls > 0 ? retry_ratio : 1;
+}
+
 /// A value of a newer version that is not known here reads as the most conservative one.
 RelayOutcome toOutcome(std::int64_t number) {
     const bool is_known = number >= 0 && number <= static_cast<std::int64_t>(RelayOutcome::kUnknown);
@@ -129,6 +150,7 @@
     fields.add(static_cast<std::int64_t>(request.retry_policy)).add(request.is_retry_paid ? 1 : 0);
     fields.add(request.is_only_candidate ? 1 : 0);
     fields.add(static_cast<std::int64_t>(request.instance_start_ms)).add(toRateField(request.known_rate_limit));
+    fields.add(toThousandths(request.call_context.no_retry_share));
     auto message = std::move(request.request);
     message.headers.set(kRequestHeader, fields.take());
     return message;
@@ -158,6 +180,7 @@
     relayed.is_only_candidate = fields.number() != 0;
     relayed.instance_start_ms = static_cast<std::uint64_t>(fields.number());
     relayed.known_rate_limit = fromRateField(fields.number());
+    relayed.call_context.no_retry_share = std::clamp(fromThousandths(fields.number()), 0.0, 1.0);
     request.headers.removePrefix(kRelayHeaderPrefix);
     relayed.request = std::move(request);
     return received;
@@ -175,6 +198,8 @@
     fields.add(result.is_retry_paid ? 1 : 0);
     write(&fields, result.notice);
     fields.add(result.load.rate_wait.count());
+    fields.add(0).add(0);  // Pace and its age, which are not measured yet.
+    writeRetries(&fields, result.report);
     auto response = std::move(result.response);
     if (result.outcome != RelayOutcome::kResponded) {
         response.status = kHttpOk;
@@ -209,6 +234,9 @@
     result.notice = readNotice(&fields);
     result.load.rate_limit = result.notice.rate_limit;
     result.load.rate_wait = Duration(fields.number());
+    fields.number();  // Pace.
+    fields.number();  // Age of the pace.
+    readRetries(&fields, &result.report);
     response.headers.removePrefix(kRelayHeaderPrefix);
     result.response = std::move(response);
     return received;
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -10,6 +10,7 @@
 #include "src/base/overload_features.h"
 #include "src/base/time.h"
 #include "src/decision/admission.h"
+#include "src/decision/retry_admission.h"
 #include "src/entry/access_check.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
@@ -33,6 +34,7 @@
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
     decision::AdmissionKnobs admission;
+    decision::RetryAdmissionKnobs retry_admission;
     decision::BottleneckKnobs bottlenecks;
     relay::RelayKnobs relay;
     quarantine::QuarantineKnobs quarantine;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -29,6 +29,14 @@
     return std::chrono::milliseconds(value);
 }
 
+/// Passes the switches of the overload control on to the parts that they concern.
+Settings withFeatures(Settings settings) {
+    auto& knobs = settings.knobs;
+    knobs.relay.retry_admission = knobs.overload.retry_admission;
+    knobs.bottlenecks.includes_retries = knobs.overload.retry_admission;
+    return settings;
+}
+
 }  // namespace
 
 wire::NodeRecord SidecarNode::initialRecord(const Settings& settings) {
@@ -42,7 +50,7 @@
 
 SidecarNode::SidecarNode(const Ports& ports, Settings settings)
     : ports_(ports),
-      settings_(std::move(settings)),
+      settings_(withFeatures(std::move(settings))),
       table_(settings_.incarnation),
       lease_(settings_.knobs.table_lease),
       directory_(ports.clock, initialRecord(settings_)),
@@ -59,6 +67,7 @@
       bottlenecks_(settings_.knobs.bottlenecks),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
       admission_(ports.random, settings_.knobs.admission),
+      retry_admission_(ports.random, settings_.knobs.retry_admission),
       entry_services_{ports.clock,
                       ports.random,
                       ports.log,
@@ -264,13 +273,31 @@
     const bool is_client_retry = deadlines_.isShortened(now, route, plan->caller_timeout);
     if (bottlenecks_.isInternal(route)) {
         plan->call_context = relay_.callGraph().onCall(now, route, plan->caller_timeout);
+        chooseRetries(plan);
         return true;
     }
-    const auto bottleneck = bottlenecks_.bottleneckOf(now, route);
-    plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, bottleneck.admit_ratio);
+    auto bottleneck = bottlenecks_.bottleneckOf(now, route);
+    double probability = 1;
+    if (settings_.knobs.overload.retry_admission) {
+        const auto decision = retry_admission_.decide(now, bottleneck, {plan->rank, is_client_retry});
+        if (!decision.is_admitted) {
+            return false;
+        }
+        probability = decision.probability;
+        plan->call_context.no_retry_share = decision.no_retry_share;
+        bottleneck.admit_ratio = std::min(1.0, bottleneck.admit_ratio / std::max(kMinAdmitRatio, decision.kept_share));
+        chooseRetries(plan);
+    }
+    plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, probability * bottleneck.admit_ratio);
     return admission_.admits(now, bottleneck, {plan->rank, is_client_retry});
 }
 
+/// Decides whether the call may be retried, by the share of retries that admission has granted to its request.
+void SidecarNode::chooseRetries(entry::EntryPlan* plan) {
+    const double share = plan->call_context.no_retry_share;
+    plan->may_retry = share <= 0 || ports_.random.unit() >= share;
+}
+
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
 double SidecarNode::hostShare(const std::string& service) const {
     const auto hosts = directory_.othersWithService(service).size() + (settings_.service == service ? 1 : 0);
@@ -278,8 +305,10 @@
 }
 
 bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    return bottlenecks_.bottleneckOf(ports_.clock.now(), plan.route->name()).admit_ratio <
-           decision::kMinNormalAdmitRatio;
+    const auto bottleneck = bottlenecks_.bottleneckOf(ports_.clock.now(), plan.route->name());
+    // Where retries are scarce, admission has kept some of them for the requests that it admitted.
+    return bottleneck.scarce == decision::Resource::kRetries ? !plan.may_retry
+                                                             : bottleneck.admit_ratio < decision::kMinNormalAdmitRatio;
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, const std::string& relay,
@@ -287,10 +316,18 @@
     auto report = result.report;
     if (relay == settings_.name) {
         report.downstream = bottlenecks_.bottleneckOfCalls(ports_.clock.now(), plan.route->name(), relay_.callGraph());
+        countWasted(plan.route->name(), result, report.downstream.service);
     }
     bottlenecks_.onReport(ports_.clock.now(), plan.route->name(), plan.service, relay, report);
 }
 
+void SidecarNode::countWasted(const std::string& route, const relay::RelayResult& result,
+                              const std::string& bottleneck) {
+    if (result.failed_downstream) {
+        ++counters_.wasted_executions[{route, bottleneck}];
+    }
+}
+
 void SidecarNode::onNodeUnresponsive(const std::string& name) {
     ports_.log.write(Event("node_silent").with("peer", name));
     std::vector<CallId> call_ids;
@@ -354,6 +391,7 @@
             relayed_calls_.erase(call_id);
             logRelayed(request_id, result);
             result.report.downstream = bottlenecks_.bottleneckOfCalls(ports_.clock.now(), route, relay_.callGraph());
+            countWasted(route, result, result.report.downstream.service);
             reply(relay::toHttp(std::move(result), {settings_.name, table_.version(), tableAge()}));
         });
     return call_id;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 
 #include "src/decision/admission.h"
 #include "src/decision/bottleneck_view.h"
+#include "src/decision/retry_admission.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
@@ -47,6 +48,8 @@
 struct Counters {
     std::uint64_t relayed = 0;     ///< Calls received from other nodes.
     std::uint64_t heartbeats = 0;  ///< Accepted heartbeats of the local instance.
+    /// Failures of the local instance that a failed call of it explains, by route and bottleneck of its calls.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> wasted_executions;
 };
 
 /// Wires all parts of a node together. Owns no socket, clock or thread; all calls come from one event loop.
@@ -135,6 +138,8 @@
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
     bool admit(entry::EntryPlan* plan);
+    void chooseRetries(entry::EntryPlan* plan);
+    void countWasted(const std::string& route, const relay::RelayResult& result, const std::string& bottleneck);
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
     void publishSelf();
@@ -159,6 +164,7 @@
     decision::BottleneckView bottlenecks_;
     entry::RelaySelector selector_;
     decision::Admission admission_;
+    decision::RetryAdmission retry_admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     quota::ShardLeaseManager shard_lease_manager_;
--- a/tests/unit/decision/bottleneck_view_test.cc
+++ b/tests/unit/decision/bottleneck_view_test.cc
@@ -135,4 +135,53 @@
     BOOST_TEST(bottleneckOf("order").admit_ratio == 1);
 }
 
+/// Guards against a shortage of retries that is hidden by slots, and against one that counts while the part is off.
+BOOST_AUTO_TEST_CASE(the_scarcer_of_slots_and_retries_counts) {
+    decision::BottleneckKnobs knobs;
+    knobs.includes_retries = true;
+    decision::BottleneckView with_retries(knobs);
+    const decision::ServiceLoad load{25, 20, 20, 100, 25, 80};
+    const decision::RouteReport at_desk{load, 30ms, {}, true};
+    with_retries.onReport(time.clock.now(), "inner", "desk", "n1", at_desk);
+    with_retries.onReport(time.clock.now(), "inner", "desk", "n2", at_desk);
+    const auto own = with_retries.bottleneckOf(time.clock.now(), "inner");
+    BOOST_TEST((own.scarce == decision::Resource::kRetries));
+    BOOST_TEST(own.admit_ratio == 0.8);
+    BOOST_TEST(own.retry_ratio == 0.25);
+    BOOST_TEST(own.lowestRatio() == 0.25);
+    BOOST_TEST(own.retries_per_call == 1.25);
+    BOOST_TEST(own.calls == 1);
+    learnCalls();
+    const auto of_calls = with_retries.bottleneckOfCalls(time.clock.now(), "calling", graph);
+    BOOST_TEST(of_calls.calls == 2);
+    const decision::RouteReport report{{10, 20, 10}, 50ms, of_calls, false};
+    with_retries.onReport(time.clock.now(), "order", "front", "f1", report);
+    const auto of_route = with_retries.bottleneckOf(time.clock.now(), "order");
+    BOOST_TEST(of_route.service == "desk");
+    BOOST_TEST((of_route.scarce == decision::Resource::kRetries));
+    BOOST_TEST(of_route.calls == 2);
+    view.onReport(time.clock.now(), "inner", "desk", "n1", at_desk);
+    BOOST_TEST((bottleneckOf("inner").scarce == decision::Resource::kSlots));
+    BOOST_TEST(bottleneckOf("inner").retry_ratio == 1);
+    BOOST_TEST(bottleneckOf("inner").lowestRatio() == 0.8);
+}
+
+/// Guards against entries that keep a shortage of retries which is no longer reported.
+BOOST_AUTO_TEST_CASE(a_shortage_of_retries_is_forgotten_without_reports) {
+    decision::BottleneckKnobs knobs;
+    knobs.includes_retries = true;
+    decision::BottleneckView with_retries(knobs);
+    decision::RouteReport report{{10, 20, 10}, 50ms, {"leaf", 1, 88ms}, false};
+    report.downstream.retry_ratio = 0.2;
+    report.downstream.retries_per_call = 1.2;
+    report.downstream.calls = 8;
+    with_retries.onReport(time.clock.now(), "order", "front", "f1", report);
+    time.advance(1s);
+    BOOST_TEST(std::abs(with_retries.bottleneckOf(time.clock.now(), "order").retry_ratio - 0.2) < 1e-9);
+    time.advance(500ms);
+    BOOST_TEST(std::abs(with_retries.bottleneckOf(time.clock.now(), "order").retry_ratio - 0.6) < 1e-9);
+    time.advance(500ms);
+    BOOST_TEST((with_retries.bottleneckOf(time.clock.now(), "order").scarce == decision::Resource::kSlots));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/decision/retry_budget_test.cc
+++ b/tests/unit/decision/retry_budget_test.cc
@@ -69,4 +69,44 @@
     BOOST_TEST(budget.tryRetry(kStart, 1, 1));
 }
 
+/// Guards against retries by first attempts of an earlier time, where these are not to count.
+BOOST_AUTO_TEST_CASE(earlier_first_attempts_can_be_left_out) {
+    const auto retriesWith = [](bool includes_carry_over) {
+        decision::RetryBudget budget(kLimit, kStart);
+        for (int count = 0; count < 100; ++count) {
+            budget.onFirstAttempt(kStart, 0);
+        }
+        for (int count = 0; count < 100; ++count) {
+            budget.onFirstAttempt(kStart + 1s, 0);
+        }
+        int granted = 0;
+        while (budget.tryRetry(kStart + 1s, {1, 1, 1, includes_carry_over})) {
+            ++granted;
+        }
+        return granted;
+    };
+    BOOST_TEST(retriesWith(true) == 32);
+    BOOST_TEST(retriesWith(false) == 16);
+}
+
+BOOST_AUTO_TEST_CASE(a_reserved_share_is_left_to_others) {
+    decision::RetryBudget budget(kLimit, kStart);
+    for (int count = 0; count < 100; ++count) {
+        budget.onFirstAttempt(kStart, 0);
+    }
+    int granted = 0;
+    while (budget.tryRetry(kStart, {1, 1, 0.5, true})) {
+        ++granted;
+    }
+    BOOST_TEST(granted == 8);
+    BOOST_TEST(budget.tryRetry(kStart, {1, 1, 1, true}));
+}
+
+/// Guards against a capacity that counts the slack of a whole window as available in each second.
+BOOST_AUTO_TEST_CASE(the_capacity_spreads_the_slack_over_the_window) {
+    const decision::RetryBudget budget({0.2, 100, 10s}, kStart);
+    BOOST_TEST(budget.capacityPerSecond(50, 1) == 0.8 * (10 + 10));
+    BOOST_TEST(budget.capacityPerSecond(50, 5) == 0.8 * (10 + 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -326,7 +326,7 @@
     request.instance = "i1";
     request.is_retry = true;
     request.is_last_candidate = true;
-    request.call_context = {0.25, 3.5};
+    request.call_context = {0.25, 3.5, 0.625};
     request.route = "r";
     request.priority = 3;
     request.deadline = TimePoint(5s);
@@ -352,6 +352,7 @@
     BOOST_TEST((read->retry_policy == relay::RetryPolicy::kAlways));
     BOOST_TEST(read->call_context.retry_probability == 0.25);
     BOOST_TEST(read->call_context.demand_weight == 3.5);
+    BOOST_TEST(read->call_context.no_retry_share == 0.625);
     BOOST_TEST(read->priority == 3U);
     BOOST_TEST((read->deadline == TimePoint(10s)));  // The remaining time is applied to the clock of the relay.
     BOOST_TEST((read->max_wait == 70ms));
@@ -370,8 +371,8 @@
         result.response.status = 418;
         result.load = {4, 5, 6, 7ms, 0, 31ms};
         result.notice = {1234567890123, true, true, 0};
-        result.report.downstream = {"leaf", 0.25, 88ms};
-        result.report.load = {30.5, 18, 17.25};
+        result.report.downstream = {"leaf", 0.25, 88ms, decision::Resource::kRetries, 0.125, 1.25, 8.5};
+        result.report.load = {30.5, 18, 17.25, 120.5, 30.25, 96.125};
         result.report.time = 22ms;
         result.report.is_internal = true;
         const auto received_result = relay::fromHttp(relay::toHttp(result, {"n2", 8}));
@@ -388,6 +389,12 @@
         BOOST_TEST(back.report.load.demand == 30.5);
         BOOST_TEST(back.report.load.capacity == 18);
         BOOST_TEST(back.report.load.busy == 17.25);
+        BOOST_TEST(back.report.load.retry_demand == 120.5);
+        BOOST_TEST(back.report.load.retry_capacity == 30.25);
+        BOOST_TEST(back.report.load.first_attempts == 96.125);
+        BOOST_TEST(back.report.downstream.retry_ratio == 0.125);
+        BOOST_TEST(back.report.downstream.retries_per_call == 1.25);
+        BOOST_TEST(back.report.downstream.calls == 8.5);
         BOOST_TEST((back.report.time == 22ms));
         BOOST_TEST(back.report.is_internal.value());
         BOOST_TEST((back.load.rate_wait == 31ms));
@@ -400,6 +407,18 @@
         BOOST_TEST(back.is_retry_paid);
         BOOST_TEST((back.response.status == 418) == (outcome == relay::RelayOutcome::kResponded));
     }
+    // A node of an earlier version reports no retries, which must not read as a shortage of them.
+    auto shortened = relay::toHttp(relay::RelayResult{}, {"n2", 8});
+    const std::string fields(shortened.headers.get("dewcrank-relay-result"));
+    auto end = fields.size();
+    constexpr int kFieldsOnRetries = 6;
+    for (int field = 0; field < kFieldsOnRetries; ++field) {
+        end = fields.rfind(' ', end - 1);
+    }
+    shortened.headers.set("dewcrank-relay-result", fields.substr(0, end));
+    const auto earlier = relay::fromHttp(shortened).result.report;
+    BOOST_TEST(earlier.load.retryAdmitRatio() == 1);
+    BOOST_TEST(earlier.downstream.retry_ratio == 1);
     HttpResponse unmarked;
     unmarked.status = 200;
     BOOST_TEST((relay::fromHttp(unmarked).result.outcome == relay::RelayOutcome::kUnknown));
