--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -77,7 +77,7 @@
         return RelayReason::kQuarantined;
     }
     const bool may_retry =
-        knobs_.disabled.retry_budget_check || retries_.mayRetry(request, route_detector_.isInternal(request.route));
+        knobs_.disabled.retry_budget_check || retries_.mayRetry(request, isOfTreeInProgress(request));
     return may_retry ? RelayReason::kNone : RelayReason::kRetryBudget;
 }
 
@@ -421,7 +421,7 @@
     if (result.was_sent) {
         retries_.onSentEnded(result);
     }
-    result.is_retry_paid = retries_.payForRetry(call.request, result, route_detector_.isInternal(call.request.route));
+    result.is_retry_paid = retries_.payForRetry(call.request, result, isOfTreeInProgress(call.request));
     result.load = queue_.load();
     result.has_load = true;
     result.notice = noticeFor(call);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -139,6 +139,10 @@
     [[nodiscard]] bool accepts(const std::string& instance) const;
     /// Takes a retry from the budget if the call is one. @return kNone if the call may proceed.
     [[nodiscard]] RelayReason rejectionReason(const Call& call);
+    /// @return true if the request is a call of a tree in progress, whose retries have precedence.
+    [[nodiscard]] bool isOfTreeInProgress(const RelayRequest& request) const {
+        return knobs_.retry_admission && route_detector_.isInternal(request.route);
+    }
     QueueRequest queueRequestFor(RelayRequest* request);
     void enterTrials(CallId id);
     void onTrialDecision(CallId id, bool may_run);
