--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -53,6 +53,7 @@
     decision::CallGraphKnobs call_graph;
     std::uint32_t slots_per_free_slot = 16;     ///< One slot of this many is left free.
     std::uint32_t min_slots_for_free_slot = 8;  ///< An instance with at least this many slots has one left free.
+    bool retry_admission = false;               ///< `OverloadFeatures::retry_admission`.
     DisabledMechanisms disabled;                ///< Tests only.
 };
 
@@ -146,6 +147,10 @@
     void countRejected(Call* call);
     /// Takes a retry from the budget if the call is one. @return kNone if the call may proceed.
     [[nodiscard]] RelayReason rejectionReason(const Call& call);
+    /// @return true if the request is a call of a tree in progress, whose retries have precedence.
+    [[nodiscard]] bool isOfTreeInProgress(const RelayRequest& request) const {
+        return knobs_.retry_admission && route_detector_.isInternal(request.route);
+    }
     QueueRequest queueRequestFor(RelayRequest* request);
     void enterTrials(CallId id);
     void onTrialDecision(CallId id, bool may_run);
