Report the fleet-wide rate of a tenant with its tokens

Cause: a node sees only a part of a tenant's requests, at 300 nodes a few a minute of most tenants, and cannot tell a large tenant from a small one at a bottleneck. Every request of a tenant with a quota asks an owner of a quota shard for a token.

The rate grants nothing.

--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -16,7 +16,7 @@
 
 QuotaClient::QuotaClient(Clock& clock, RandomSource& random, EventLog& log, HttpTransport& nodes,
                          const fleet::NodeDirectory& directory, const policy::RouteTable& table,
-                         ShardLeaseManager& lease_manager, QuotaClientKnobs knobs)
+                         ShardLeaseManager& lease_manager, QuotaClientKnobs knobs, const OverloadFeatures& features)
     : clock_(clock),
       random_(random),
       log_(log),
@@ -24,7 +24,8 @@
       directory_(directory),
       table_(table),
       lease_manager_(lease_manager),
-      knobs_(knobs) {
+      knobs_(knobs),
+      features_(features) {
     lease_manager_.signalTakeover().connect(
         [this](std::uint32_t shard, const std::string& previous_owner) { requestTakeover(shard, previous_owner); });
 }
@@ -139,6 +140,10 @@
     }
 }
 
+std::optional<FleetRate> QuotaClient::fleetRate(const wire::Tenant& tenant) const {
+    return fleet_rates_.rateOf(clock_.now(), tenant, [this](std::uint32_t shard) { return ownerOf(shard) != nullptr; });
+}
+
 // Requests ------------------------------------------------------------------
 
 wire::QuotaAsk QuotaClient::makeRequest(std::uint32_t shard_index) {
@@ -244,6 +249,9 @@
 /// Distributes the tokens granted to one tenant. @param ids its requests, in order of arrival.
 void QuotaClient::onGrant(std::uint32_t shard_index, std::uint64_t term, const wire::QuotaGrant::Line& line,
                           std::vector<RequestId>* ids) {
+    if (features_.fair_shares) {
+        fleet_rates_.onReport(clock_.now(), shard_index, line.tenant(), line.asked_per_s());
+    }
     TokenResult result;
     result.outcome = TokenOutcome::kGranted;
     result.token = {shard_index, term};
@@ -325,6 +333,9 @@
             granted->set_next_ms(kUnknownTenantRetryMs);
         } else {
             *granted = shard->grant(clock_.now(), *tenant, line.wanted(), is_same_term ? line.returned() : 0);
+            if (features_.fair_shares) {
+                granted->set_asked_per_s(shard->asked().perSecond(clock_.now(), line.tenant()));
+            }
         }
     }
     return response;
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -11,12 +11,14 @@
 
 #include "src/base/disabled_mechanisms.h"
 #include "src/base/http_message.h"
+#include "src/base/overload_features.h"
 #include "src/fleet/node_directory.h"
 #include "src/policy/route_table.h"
 #include "src/ports/clock.h"
 #include "src/ports/event_log.h"
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
+#include "src/quota/fleet_rates.h"
 #include "src/quota/shard_lease_manager.h"
 
 namespace dewcrank::quota {
@@ -76,7 +78,7 @@
 
     QuotaClient(Clock& clock, RandomSource& random, EventLog& log, HttpTransport& nodes,
                 const fleet::NodeDirectory& directory, const policy::RouteTable& table,
-                ShardLeaseManager& lease_manager, QuotaClientKnobs knobs);
+                ShardLeaseManager& lease_manager, QuotaClientKnobs knobs, const OverloadFeatures& features = {});
 
     /// Requests one token. `callback` is called once, possibly before this returns.
     /// @return an id for `cancel`; 0 if the callback has been called.
@@ -88,6 +90,8 @@
     /// Serves another node's token request. @return 200 with a `wire::QuotaGrant` body, or 400 if invalid.
     HttpResponse handle(const HttpRequest& request);
     [[nodiscard]] const QuotaTotals& totals() const { return totals_; }
+    /// @return the rate of a tenant's requests at all nodes; nothing if no owner has reported it lately.
+    [[nodiscard]] std::optional<FleetRate> fleetRate(const wire::Tenant& tenant) const;
 
 private:
     struct PendingRequest {
@@ -133,6 +137,8 @@
     const policy::RouteTable& table_;
     ShardLeaseManager& lease_manager_;
     QuotaClientKnobs knobs_;
+    OverloadFeatures features_;
+    FleetRates fleet_rates_;
     std::array<Shard, kShardCount> shards_;
     std::map<std::string, Tenant> tenants_;
     TimerHandle return_timer_;
--- a/src/quota/quota_shard.cc
+++ b/src/quota/quota_shard.cc
@@ -44,6 +44,7 @@
         line.set_next_ms(kWrongShardRetryMs);
         return line;
     }
+    asked_.onAsked(now, tenant.name(), wanted);
     auto& bucket = buckets_.try_emplace(tenant.name(), term_start_).first->second;
     const double rate = tenant.rate_per_s() / shardCountOf(tenant);
     const double depth = std::max(kMinDepth, tenant.burst() / shardCountOf(tenant));
--- a/src/quota/quota_shard.h
+++ b/src/quota/quota_shard.h
@@ -13,6 +13,7 @@
 #include "proto/generated/fleet.pb.h"
 #include "src/base/time.h"
 #include "src/base/token_bucket.h"
+#include "src/quota/asked_rates.h"
 
 namespace dewcrank::quota {
 
@@ -41,11 +42,14 @@
     /// @return the number granted; if fewer than wanted, also the time in ms until a token is available.
     wire::QuotaGrant::Line grant(TimePoint now, const wire::Tenant& tenant, std::uint32_t wanted,
                                  std::uint32_t returned);
+    /// Tokens per second that were requested by all nodes.
+    [[nodiscard]] const AskedRates& asked() const { return asked_; }
 
 private:
     std::uint32_t shard_;
     TimePoint term_start_;
     std::map<std::string, TokenBucket> buckets_;  ///< By tenant.
+    AskedRates asked_;
 };
 
 }  // namespace dewcrank::quota
