Divide the capacity of a rank among callers by max-min fairness

Cause: Admission refuses all requests of a rank with the same probability, so that tenants below their share are refused for the demand of a hot tenant, of a burst of one route, or of clients that retry at once.

Change: FlowShares gives each flow (tenant, or route) the probability min(1, level * weight / rate), at least a quarter of the rank's; Admission consults it if OverloadFeatures::fair_shares is on. The level is computed every 100 ms from the slot time that arrives, and corrected by what was admitted too much or too little, so that the rank's total does not change.

The tests fail without the level's correction, the fleet-wide rates, their maximum age, their division among ranks, the count of client retries and the least share (each removed in turn in a scratch copy).

--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -16,6 +16,13 @@
 constexpr double kEvenAdmitRatio = 0.3;
 }  // namespace
 
+Admission::Admission(RandomSource& random, AdmissionKnobs knobs, const OverloadFeatures& features)
+    : random_(random), knobs_(knobs) {
+    if (features.fair_shares) {
+        flow_shares_.emplace(FlowSharesKnobs());
+    }
+}
+
 void Admission::decay(TimePoint now, Arrivals* arrivals) {
     if (now - arrivals->decayed_at < kDecayInterval) {
         return;
@@ -59,9 +66,28 @@
     auto& arrivals = arrivals_[bottleneck.service];
     decay(now, &arrivals);
     const auto effective_rank = request.rank + (request.is_client_retry ? kClientRetryRank : 0);
-    arrivals.slot_time[effective_rank] += toSeconds(std::max(bottleneck.cost, kMinCost));
-    return bottleneck.admit_ratio >= 1 ||
-           random_.unit() < admitProbability(arrivals, bottleneck.admit_ratio, effective_rank);
+    const double slot_time = toSeconds(std::max(bottleneck.cost, kMinCost));
+    arrivals.slot_time[effective_rank] += slot_time;
+    FlowRequest flow_request;
+    if (flow_shares_) {
+        flow_request = {bottleneck.service, request.rank, request.is_client_retry, request.flow, slot_time, 1,
+                        request.fleet_rate};
+        flow_shares_->onArrival(now, flow_request);
+    }
+    if (bottleneck.admit_ratio >= 1) {
+        return true;
+    }
+    const double rank_probability = admitProbability(arrivals, bottleneck.admit_ratio, effective_rank);
+    return flow_shares_ ? admitsFlow(now, flow_request, rank_probability) : random_.unit() < rank_probability;
+}
+
+bool Admission::admitsFlow(TimePoint now, const FlowRequest& request, double rank_probability) {
+    const auto share = flow_shares_->shareOf(now, request, rank_probability);
+    const double drawn = random_.unit();
+    if (drawn >= share.probability && drawn < rank_probability) {
+        signal_flow_rejected_.emit({request.service, request.flow, share});
+    }
+    return drawn < share.probability;
 }
 
 }  // namespace dewcrank::decision
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -4,12 +4,17 @@
 /// upstream what an overloaded service reports about its load.
 #pragma once
 
+#include <sigc++/sigc++.h>
+
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "src/base/overload_features.h"
 #include "src/base/time.h"
 #include "src/decision/bottleneck_view.h"
+#include "src/decision/flow_shares.h"
 #include "src/ports/random_source.h"
 
 namespace dewcrank::decision {
@@ -23,17 +28,28 @@
 struct AdmissionRequest {
     std::uint32_t rank = 0;        ///< The request's `policy::rankOf`; 0 is rejected last.
     bool is_client_retry = false;  ///< Rejected before all first attempts, so that retrying gains a client nothing.
+    std::string flow = {};         ///< The tenant, or the route for callers without one; see `FlowShares`.
+    std::optional<FleetRate> fleet_rate = std::nullopt;  ///< Of the flow, if known.
+};
+
+/// A request that was rejected for its flow's share; the probability of its rank would have admitted it.
+struct FlowRejection {
+    std::string service;  ///< The bottleneck.
+    std::string flow;
+    FlowShare share;
 };
 
 /// Admits or rejects each request by its rank and by the admission ratio of its bottleneck service.
 class Admission {
 public:
-    Admission(RandomSource& random, AdmissionKnobs knobs) : random_(random), knobs_(knobs) {}
+    Admission(RandomSource& random, AdmissionKnobs knobs, const OverloadFeatures& features = {});
 
     /// Counts a request and decides whether it is admitted.
     /// @param bottleneck   bottleneck of the request's route; without a known one the request is admitted.
     /// @return true if the request is admitted.
     bool admits(TimePoint now, const Bottleneck& bottleneck, const AdmissionRequest& request);
+    /// Emitted for each request that is rejected for its flow's share.
+    sigc::signal<void(const FlowRejection&)>& signalFlowRejected() { return signal_flow_rejected_; }
 
 private:
     /// Slot time in seconds that arriving requests need at one bottleneck, by rank; decays exponentially.
@@ -43,10 +59,13 @@
     };
     static void decay(TimePoint now, Arrivals* arrivals);
     [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t rank) const;
+    bool admitsFlow(TimePoint now, const FlowRequest& request, double rank_probability);
 
     RandomSource& random_;
     AdmissionKnobs knobs_;
     std::map<std::string, Arrivals> arrivals_;  ///< By bottleneck service.
+    std::optional<FlowShares> flow_shares_;     ///< Nothing if the feature is off.
+    sigc::signal<void(const FlowRejection&)> signal_flow_rejected_;
 };
 
 }  // namespace dewcrank::decision
