Apply fair shares at the entry and show them to operators

Cause: the entry does not tell the admission whose request it is, and operators could not tell a refusal for a flow's share from one for the rank.

Change: EntryPlan names the tenant; SidecarNode::admit passes the flow and the fleet-wide rate of the tenant's current row.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -89,6 +89,8 @@
     setGauge("dewcrank_repeats_window_allowed", "This relay's part of the bound in the last window.", window.allowed);
     setGauge("dewcrank_least_level", "Least level of a service that this node calls.",
              node.tightestBottleneck().admit_ratio);
+    setGauge("dewcrank_flow_share_refused", "Requests refused for their flow's share of a bottleneck, since the start.",
+             static_cast<double>(node.flowRejections()));
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
     const auto age = node.tableAge();
     setGauge("dewcrank_table_age_seconds", "Since the table was known to be the newest; -1: never.",
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -51,6 +51,7 @@
     std::string service;                 ///< Name of the service whose instances may run the request.
     std::uint32_t priority = 0;          ///< Priority of the route; 0 is the most urgent.
     std::uint32_t rank = 0;              ///< Order of admission, from `policy::rankOf`; 0 is rejected last.
+    std::string tenant;                  ///< Name of the caller's tenant; empty if it has none.
     TimePoint deadline{};                ///< The caller receives its response by this time.
     Duration caller_timeout{};           ///< Timeout that the caller sent, or else that of the route.
     decision::CallContext call_context;  ///< Inherited from the run that makes this call.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -58,7 +58,8 @@
           settings_.knobs.relay),
       bottlenecks_(settings_.knobs.bottlenecks),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
-      admission_(ports.random, settings_.knobs.admission),
+      admission_(ports.random, settings_.knobs.admission, settings_.knobs.overload),
+      flow_share_log_(ports.clock, ports.log),
       entry_services_{ports.clock,
                       ports.random,
                       ports.log,
@@ -80,7 +81,7 @@
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_, settings_),
       shard_lease_manager_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
       quota_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, shard_lease_manager_,
-             settings_.knobs.quota_client),
+             settings_.knobs.quota_client, settings_.knobs.overload),
       intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}),
       load_logger_(ports.clock, ports.log, settings_.service, relay_, bottlenecks_, settings_.knobs.relay.retry_limit) {
     instance_.signalChanged().connect([this] { publishSelf(); });
@@ -89,6 +90,8 @@
     relay_.setReplicaView([this] { return fleet::replicasOf(directory_, settings_.service); });
     quarantine_exchange_.signalInstanceCrashed().connect([this] { relay_.onRemoteCrash(); });
     table_.signalAdopted().connect([this] { setProbePath(); });
+    admission_.signalFlowRejected().connect(
+        [this](const decision::FlowRejection& rejection) { flow_share_log_.onRejected(rejection); });
     failure_detector_.signalUnresponsive().connect([this](const std::string& name) { onNodeUnresponsive(name); });
     directory_.signalChanged().connect(
         [this](const std::string&) { relay_.setRelayCount(selector_.relayCount(settings_.service)); });
@@ -236,6 +239,7 @@
     plan.route = route;
     plan.priority = route->priority();
     plan.rank = policy::rankOf(*route, tenant);
+    plan.tenant = tenant == nullptr ? "" : tenant->name();
     plan.caller_timeout = requested_time;
     plan.service = selectService(*route);
     plan.deadline =
@@ -268,7 +272,14 @@
     }
     const auto bottleneck = bottlenecks_.bottleneckOf(now, route);
     plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, bottleneck.admit_ratio);
-    return admission_.admits(now, bottleneck, {plan->rank, is_client_retry});
+    const auto flow = plan->tenant.empty() ? "route/" + route : "tenant/" + plan->tenant;
+    return admission_.admits(now, bottleneck, {plan->rank, is_client_retry, flow, fleetRateOf(plan->tenant)});
+}
+
+/// @return nothing for a tenant whose row is no longer in the table.
+std::optional<FleetRate> SidecarNode::fleetRateOf(const std::string& tenant) const {
+    const auto* row = settings_.knobs.overload.fair_shares ? table_.tenantNamed(tenant) : nullptr;
+    return row == nullptr ? std::nullopt : quota_.fleetRate(*row);
 }
 
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -27,6 +27,7 @@
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
+#include "src/sidecar/flow_share_log.h"
 #include "src/sidecar/load_logger.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
@@ -111,6 +112,8 @@
     [[nodiscard]] decision::ServiceLoad serviceLoad() { return relay_.serviceLoad(); }
     [[nodiscard]] const quarantine::Quarantine& quarantine() const { return quarantine_; }
     [[nodiscard]] const quota::QuotaClient& quota() const { return quota_; }
+    /// @return the requests rejected for their flow's share of a bottleneck, since the start.
+    [[nodiscard]] std::uint64_t flowRejections() const { return flow_share_log_.rejectedCount(); }
     /// @return the number of quota shards whose tokens this node grants.
     [[nodiscard]] std::size_t quotaShards() const { return shard_lease_manager_.grantingCount(); }
     /// @return the number of incarnations of local instances that are on record.
@@ -135,6 +138,7 @@
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
     bool admit(entry::EntryPlan* plan);
+    [[nodiscard]] std::optional<FleetRate> fleetRateOf(const std::string& tenant) const;
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
     void publishSelf();
@@ -159,6 +163,7 @@
     decision::BottleneckView bottlenecks_;
     entry::RelaySelector selector_;
     decision::Admission admission_;
+    FlowShareLog flow_share_log_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     quota::ShardLeaseManager shard_lease_manager_;
