--- a/src/decision/flow_shares.cc
+++ b/src/decision/flow_shares.cc
@@ -14,8 +14,11 @@
 constexpr double kStandardErrors = 2;
 /// Requests per second at this node that the mean mix of a group counts for in the mix of one flow.
 constexpr double kPriorRate = 0.2;
-/// Time in which slot time that was admitted too much or too little is made up for.
-constexpr Duration kDebtTime = 2s;
+/// Slot time that was admitted too much or too little is made up for in the time of this many requests, within limits:
+/// in less, chance alone would move the level; in more, the total would be off while a sudden burst is learned.
+constexpr double kDebtRequests = 20;
+constexpr double kMinDebtSeconds = 0.5;
+constexpr double kMaxDebtSeconds = 3;
 /// The correction for it changes the admitted share by this at most.
 constexpr double kMaxCorrection = 0.5;
 /// Halvings of the interval in which the level lies: to a millionth of the largest rate.
@@ -156,6 +159,7 @@
     level.computed_at = now;
     double total = 0;
     double highest = 0;
+    double requests = 0;
     std::vector<Arriving> arriving;
     arriving.reserve(group->flows.size());
     for (const auto& [name, flow] : group->flows) {
@@ -163,11 +167,14 @@
         const double rate = rateOf(now, *group, flow) / flow.weight;
         arriving.push_back({slot_time, rate});
         total += slot_time;
+        requests += flow.requests.perSecond(now);
         highest = std::max(highest, rate);
     }
-    const double max_debt = kMaxCorrection * total * toSeconds(kDebtTime);
+    const double debt_seconds =
+        requests > 0 ? std::clamp(kDebtRequests / requests, kMinDebtSeconds, kMaxDebtSeconds) : kMaxDebtSeconds;
+    const double max_debt = kMaxCorrection * total * debt_seconds;
     level.debt = std::clamp(level.debt, -max_debt, max_debt);
-    const double admitted = rank_probability * total + level.debt / toSeconds(kDebtTime);
+    const double admitted = rank_probability * total + level.debt / debt_seconds;
     const double least = knobs_.min_share * rank_probability;
     double low = 0;
     double high = highest;
--- a/tests/support/flow_replay.h
+++ b/tests/support/flow_replay.h
@@ -24,6 +24,8 @@
     double per_s = 0;
     bool is_tenant = true;        ///< Tenants have a fleet-wide rate, if there are owners of the quota shards.
     double retrying_clients = 0;  ///< Share of the clients that retry at once after a rejection, three times.
+    Duration burst_after{};  ///< From the start of the replay; before, the flow sends `usual_part` of its requests.
+    double usual_part = 1;
 };
 
 struct ReplayOptions {
@@ -110,7 +112,10 @@
             was_restarting = is_restarting;
             const double drawn = random_.unit() * total_per_s_;
             const auto index = std::lower_bound(cumulative_.begin(), cumulative_.end(), drawn) - cumulative_.begin();
-            request(now, flows_[static_cast<std::size_t>(index)], now >= begin + options_.warm_up);
+            const auto& flow = flows_[static_cast<std::size_t>(index)];
+            if (now - begin >= flow.burst_after || random_.unit() < flow.usual_part) {
+                request(now, flow, now >= begin + options_.warm_up);
+            }
         }
         return counts_;
     }
--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -1,6 +1,7 @@
 #include "src/decision/admission.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <cstdlib>
 #include <map>
 
@@ -104,4 +105,45 @@
     BOOST_TEST(std::abs(other - kRounds * 2 / 3) < kRounds / 20, other);
 }
 
+/// Guards against a change of behaviour on fleets that have not switched fair shares on.
+BOOST_AUTO_TEST_CASE(flows_change_nothing_without_fair_shares) {
+    adapters::SeededRandom same_random(1);
+    decision::Admission without_flows(same_random, {});
+    for (int request = 0; request < 5000; ++request) {
+        const auto rank = static_cast<std::uint32_t>(request % 3);
+        const bool is_retry = request % 7 == 0;
+        const bool is_admitted =
+            admission.admits(time.clock.now(), {"leaf", 0.6, 40ms},
+                             {rank, is_retry, "tenant/" + std::to_string(request % 11), FleetRate{50, 1s}});
+        BOOST_REQUIRE(is_admitted == without_flows.admits(time.clock.now(), {"leaf", 0.6, 40ms}, {rank, is_retry}));
+        time.advance(1ms);
+    }
+}
+
+/// Guards against ranks that are reversed or change their totals: shares are divided within a rank only, also if a hot
+/// flow and its retries have the most urgent one.
+BOOST_AUTO_TEST_CASE(fair_shares_keep_the_total_of_each_rank) {
+    adapters::SeededRandom other_random(1);
+    decision::Admission fair(other_random, {}, OverloadFeatures{.fair_shares = true});
+    std::map<std::uint32_t, double> requests;
+    std::map<std::uint32_t, double> of_fair;
+    std::map<std::uint32_t, double> of_rank;
+    for (int request = 0; request < 60000; ++request) {
+        const auto rank = static_cast<std::uint32_t>(random.below(3));
+        const bool is_hot = random.below(10) < (rank == 0 ? 8 : 3);
+        const auto flow = is_hot ? std::string("tenant/hot") : "tenant/" + std::to_string(random.below(40));
+        const bool is_retry = is_hot && random.below(4) == 0;
+        const auto key = rank + (is_retry ? kClientRetry : 0);
+        const decision::Bottleneck bottleneck{"leaf", 0.5 + 0.2 * std::sin(request / 3000.0), 40ms};
+        requests[key] += 1;
+        of_fair[key] += fair.admits(time.clock.now(), bottleneck, {rank, is_retry, flow}) ? 1 : 0;
+        of_rank[key] += admission.admits(time.clock.now(), bottleneck, {rank, is_retry, flow}) ? 1 : 0;
+        time.advance(500us);
+    }
+    for (const auto& [key, count] : requests) {
+        BOOST_TEST(std::abs(of_fair[key] - of_rank[key]) < 0.02 * count,
+                   key << ": " << of_fair[key] / count << ", by rank " << of_rank[key] / count);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/decision/flow_shares_faults_test.cc
+++ b/tests/unit/decision/flow_shares_faults_test.cc
@@ -77,6 +77,9 @@
                                           << ", refused of small tenants " << small);
             BOOST_TEST(std::abs(counts.admittedShare() - 0.6) < 0.02, entry.name << ": " << counts.admittedShare());
             BOOST_TEST(small < 0.05, entry.name << ", " << nodes << " nodes: " << small);
+            auto without = entry.options;
+            without.fair_shares = false;
+            BOOST_TEST(refusedOfSmallTenants(FlowReplay(flows, without).run()) > 0.3, entry.name);
         }
     }
 }
--- a/tests/unit/decision/flow_shares_test.cc
+++ b/tests/unit/decision/flow_shares_test.cc
@@ -97,6 +97,31 @@
     }
 }
 
+/// Guards against a part that is slow: in the first two seconds in which a tenant sends 6.5 times its usual rate,
+/// others are not refused for it.
+BOOST_AUTO_TEST_CASE(a_burst_takes_nothing_from_others_while_its_rate_is_learned) {
+    auto flows = replayTenants(kTenantsPerSecond);
+    const double level = fairLevel(flows, 0.6);
+    flows[kHotTenant - 1].per_s *= kHotFactor;
+    flows[kHotTenant - 1].burst_after = 10s;
+    flows[kHotTenant - 1].usual_part = 1 / kHotFactor;
+    for (const auto nodes : kFleetSizes) {
+        ReplayOptions options;
+        options.nodes = nodes;
+        options.warm_up = 10s;
+        options.counted = 2s;
+        auto counts = FlowReplay(flows, options).run();
+        const auto below = belowShare(flows, counts, level);
+        BOOST_TEST_MESSAGE(nodes << " nodes: below their share " << below.refused << " refused, worst " << below.worst
+                                 << "; admitted " << counts.admittedShare());
+        BOOST_TEST(below.refused < 0.05, nodes << " nodes: " << below.refused);
+        BOOST_TEST(std::abs(counts.admittedShare() - options.admit_ratio) < 0.05, counts.admittedShare());
+        options.fair_shares = false;
+        auto without = FlowReplay(flows, options).run();
+        BOOST_TEST(belowShare(flows, without, level).refused > 0.3, nodes);
+    }
+}
+
 /// Guards against shares that depend on the owners of the quota shards: a node that has no fleet-wide rates uses what
 /// it sees itself, averaged over a longer time where that is little.
 BOOST_AUTO_TEST_CASE(shares_hold_without_owners_of_quota_shards) {
