Tell rejected callers a reserved time to return, and admit those that keep it before first attempts

Cause: a client retry ranks behind all first attempts, whoever sends it, so that a caller that waits as told by Retry-After gains nothing over one that returns at once; waiting requests that cannot complete in time keep others from their slots. Change: with overload.return_priority, decision::Returns reserves times by bottleneck and tenth of a second, and recognizes returns that keep them; Admission takes them before first attempts of their rank; a relay rejects at once what could only start too late to complete, calls of begun trees excepted. Metrics dewcrank_returns_*. With the switch off nothing changes.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -87,6 +87,17 @@
     const auto window = node.retryWindow();
     setGauge("dewcrank_repeats_window", "Repeats in the last window, inherited ones included.", window.retries);
     setGauge("dewcrank_repeats_window_allowed", "This relay's part of the bound in the last window.", window.allowed);
+    const auto& returns = node.returnTotals();
+    setGauge("dewcrank_returns_reserved", "Rejected callers that were told a reserved time, since the start.",
+             static_cast<double>(returns.reserved));
+    setGauge("dewcrank_returns_kept", "Client retries that came at a reserved time, since the start.",
+             static_cast<double>(returns.kept));
+    setGauge("dewcrank_returns_at_once", "Client retries that came sooner than any caller is told to.",
+             static_cast<double>(returns.at_once));
+    setGauge("dewcrank_returns_unreserved", "Other client retries without a reservation, since the start.",
+             static_cast<double>(returns.unreserved));
+    setGauge("dewcrank_returns_refused_again", "Client retries that admission refused, since the start.",
+             static_cast<double>(returns.refused_again));
     setGauge("dewcrank_least_level", "Least level of a service that this node calls.",
              node.tightestBottleneck().admit_ratio);
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -8,32 +8,39 @@
 /// Arrivals are multiplied by this once per interval: a time constant of two seconds.
 constexpr double kArrivalDecay = 0.95;
 constexpr Duration kDecayInterval = 100ms;
-/// Added to the rank of client retries, so that they rank after all first attempts.
-constexpr std::uint32_t kClientRetryRank = 1000;
+/// Orders of a rank: reserved returns, then first attempts.
+constexpr std::uint32_t kOrdersPerRank = 2;
+/// Added to the order of client retries, so that they are rejected before all first attempts.
+constexpr std::uint32_t kClientRetryOrder = 1000 * kOrdersPerRank;
 /// Lower bound of the cost of a request, which is 0 while it is unknown.
 constexpr Duration kMinCost = 1ms;
 /// Up to this ratio all ranks are admitted nearly evenly; above it, urgent ranks are preferred increasingly.
 constexpr double kEvenAdmitRatio = 0.3;
 }  // namespace
 
+std::uint32_t Admission::orderOf(const AdmissionRequest& request) {
+    return request.rank * kOrdersPerRank + (request.is_reserved_return ? 0 : 1) +
+           (request.is_client_retry ? kClientRetryOrder : 0);
+}
+
 void Admission::decay(TimePoint now, Arrivals* arrivals) {
     if (now - arrivals->decayed_at < kDecayInterval) {
         return;
     }
     arrivals->decayed_at = now;
-    for (auto& [rank, slot_time] : arrivals->slot_time) {
+    for (auto& [order, slot_time] : arrivals->slot_time) {
         slot_time *= kArrivalDecay;
     }
 }
 
-/// @return the share of a rank's requests to admit. Slot time is rejected from the least urgent rank upwards, from each
-/// rank down to its minimum share.
-double Admission::admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t rank) const {
+/// @return the share of the requests of an order to admit. Slot time is rejected from the least urgent rank upwards,
+/// from each order down to its minimum share.
+double Admission::admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t order) const {
     double total = 0;
     double non_retry = 0;
-    for (const auto& [other_rank, slot_time] : arrivals.slot_time) {
+    for (const auto& [other_order, slot_time] : arrivals.slot_time) {
         total += slot_time;
-        non_retry += other_rank < kClientRetryRank ? slot_time : 0;
+        non_retry += other_order < kClientRetryOrder ? slot_time : 0;
     }
     double to_reject = (1 - admit_ratio) * total;
     // Client retries are rejected first, which leaves a higher ratio to the other requests.
@@ -42,9 +49,9 @@
     const double even_share = std::min(1 - non_retry_ratio, kEvenAdmitRatio + 1 - 2 * non_retry_ratio);
     const double min_share = non_retry_ratio * std::max(knobs_.min_share, even_share);
     for (auto it = arrivals.slot_time.rbegin(); it != arrivals.slot_time.rend(); ++it) {
-        const double min_kept = it->first >= kClientRetryRank ? 0.0 : min_share;
+        const double min_kept = it->first >= kClientRetryOrder ? 0.0 : min_share;
         const double rejected = std::min(to_reject, (1 - min_kept) * it->second);
-        if (it->first == rank) {
+        if (it->first == order) {
             return it->second > 0 ? 1 - rejected / it->second : 1;
         }
         to_reject -= rejected;
@@ -58,10 +65,9 @@
     }
     auto& arrivals = arrivals_[bottleneck.service];
     decay(now, &arrivals);
-    const auto effective_rank = request.rank + (request.is_client_retry ? kClientRetryRank : 0);
-    arrivals.slot_time[effective_rank] += toSeconds(std::max(bottleneck.cost, kMinCost));
-    return bottleneck.admit_ratio >= 1 ||
-           random_.unit() < admitProbability(arrivals, bottleneck.admit_ratio, effective_rank);
+    const auto order = orderOf(request);
+    arrivals.slot_time[order] += toSeconds(std::max(bottleneck.cost, kMinCost));
+    return bottleneck.admit_ratio >= 1 || random_.unit() < admitProbability(arrivals, bottleneck.admit_ratio, order);
 }
 
 }  // namespace dewcrank::decision
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -21,8 +21,9 @@
 
 /// A request that asks for admission.
 struct AdmissionRequest {
-    std::uint32_t rank = 0;        ///< The request's `policy::rankOf`; 0 is rejected last.
-    bool is_client_retry = false;  ///< Rejected before all first attempts, so that retrying gains a client nothing.
+    std::uint32_t rank = 0;           ///< The request's `policy::rankOf`; 0 is rejected last.
+    bool is_client_retry = false;     ///< Rejected before all first attempts, so that retrying gains a client nothing.
+    bool is_reserved_return = false;  ///< The client has waited as told: rejected after first attempts of its rank.
 };
 
 /// Admits or rejects each request by its rank and by the admission ratio of its bottleneck service.
@@ -36,13 +37,15 @@
     bool admits(TimePoint now, const Bottleneck& bottleneck, const AdmissionRequest& request);
 
 private:
-    /// Slot time in seconds that arriving requests need at one bottleneck, by rank; decays exponentially.
+    /// Slot time in seconds that arriving requests need at one bottleneck; decays exponentially.
     struct Arrivals {
         TimePoint decayed_at{};
-        std::map<std::uint32_t, double> slot_time;
+        std::map<std::uint32_t, double> slot_time;  ///< By `orderOf`.
     };
+    /// @return the order of rejection: requests with the highest one are rejected first.
+    static std::uint32_t orderOf(const AdmissionRequest& request);
     static void decay(TimePoint now, Arrivals* arrivals);
-    [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t rank) const;
+    [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t order) const;
 
     RandomSource& random_;
     AdmissionKnobs knobs_;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -27,6 +27,7 @@
 
 void EntryCall::reject(const char* reason) {
     is_overload_ = true;
+    is_short_of_capacity_ = true;
     fail(reason, false);
 }
 
@@ -231,8 +232,9 @@
 }
 
 void EntryCall::onNotRun(const relay::RelayResult& result) {
-    is_overload_ = result.reason == relay::RelayReason::kQueueTooLong ||
-                   result.reason == relay::RelayReason::kQueueTimeout || result.reason == relay::RelayReason::kSuspect;
+    is_short_of_capacity_ =
+        result.reason == relay::RelayReason::kQueueTooLong || result.reason == relay::RelayReason::kQueueTimeout;
+    is_overload_ = is_short_of_capacity_ || result.reason == relay::RelayReason::kSuspect;
     const bool is_first = rejections_ == 0 && attempts_made_ == 0;
     has_met_only_stopping_ = (is_first || has_met_only_stopping_) && result.reason == relay::RelayReason::kStopping;
     const bool is_final =
@@ -284,11 +286,21 @@
     return std::exchange(relay_, "");
 }
 
+std::optional<Duration> EntryCall::reservedReturn() const {
+    if (!is_short_of_capacity_ || !plan_.may_reserve_return) {
+        return std::nullopt;
+    }
+    return services_.reserve_return(plan_, services_.clock.now() - started_);
+}
+
 Duration EntryCall::retryAfter() const {
     const auto& knobs = services_.knobs;
     if (is_quarantined_) {
         return knobs.quarantine_retry_after;
     }
+    if (const auto reserved = reservedReturn()) {
+        return *reserved;
+    }
     const auto min = is_overload_ ? knobs.min_overload_retry_after : knobs.min_retry_after;
     const auto max = is_overload_ ? knobs.max_overload_retry_after : knobs.max_retry_after;
     const auto spread = services_.random.below(static_cast<std::uint64_t>((max - min).count()));
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -54,6 +54,8 @@
     TimePoint deadline{};                ///< The caller receives its response by this time.
     Duration caller_timeout{};           ///< Timeout that the caller sent, or else that of the route.
     decision::CallContext call_context;  ///< Inherited from the run that makes this call.
+    bool may_reserve_return = false;     ///< If it is rejected, its caller may be told a reserved time to return.
+    Duration since_first{};              ///< From the caller's first attempt until this one, as far as it is known.
 };
 
 /// Dependencies of calls; they outlive every call.
@@ -75,6 +77,9 @@
     std::function<void(const EntryPlan&, const std::string& relay, const relay::RelayResult&)> on_relay_result;
     /// True if the service, or a service that it calls, counts as overloaded by its admission ratio.
     std::function<bool(const EntryPlan&)> is_overloaded;
+    /// Reserves a time for the caller of a request that was rejected for lack of capacity, `elapsed` after its start.
+    /// Nothing if there is none.
+    std::function<std::optional<Duration>(const EntryPlan&, Duration elapsed)> reserve_return;
     DisabledMechanisms disabled;  ///< Tests only.
 };
 
@@ -142,6 +147,7 @@
     void onDeadline();
     void fail(const char* reason, bool is_timeout);
     [[nodiscard]] Duration retryAfter() const;
+    [[nodiscard]] std::optional<Duration> reservedReturn() const;
     void cancelAttempt();
     void finish(HttpResponse response, EntryEnd end, const char* reason);
     void logFailed(const char* reason, int status) const;
@@ -170,8 +176,9 @@
     bool has_waited_for_instance_ = false;
     bool may_have_run_ = false;
     std::optional<HttpResponse> failure_response_;  ///< An instance's 500; sent to the caller if no retry succeeds.
-    bool is_overload_ = false;  ///< Last rejected for lack of capacity, or as a suspect that may not run yet.
-    bool is_suspect_ = false;   ///< An instance crashed while it ran the request.
+    bool is_overload_ = false;           ///< Last rejected for lack of capacity, or as a suspect that may not run yet.
+    bool is_short_of_capacity_ = false;  ///< Last rejected for lack of capacity.
+    bool is_suspect_ = false;            ///< An instance crashed while it ran the request.
     bool is_quarantined_ = false;
 };
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -164,6 +164,11 @@
     queue_request.expires_at = std::min(request->deadline, now + request->max_wait);
     queue_request.virtual_deadline =
         is_ongoing ? now : queue_request.expires_at + knobs_.priority_step * request->priority;
+    // A free slot is used anyway: the usual run time is a mean, and shorter runs may still complete.
+    if (knobs_.rejects_too_late && !is_ongoing) {
+        queue_request.expires_at =
+            std::min(queue_request.expires_at, request->deadline - demand_.timeOf(request->route));
+    }
     return queue_request;
 }
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -52,6 +52,7 @@
     decision::CallGraphKnobs call_graph;
     std::uint32_t slots_per_free_slot = 16;     ///< One slot of this many is left free.
     std::uint32_t min_slots_for_free_slot = 8;  ///< An instance with at least this many slots has one left free.
+    bool rejects_too_late = false;              ///< A request that could only start too late to complete is rejected.
     DisabledMechanisms disabled;                ///< Tests only.
 };
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -10,6 +10,7 @@
 #include "src/base/overload_features.h"
 #include "src/base/time.h"
 #include "src/decision/admission.h"
+#include "src/decision/returns.h"
 #include "src/entry/access_check.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
@@ -34,6 +35,7 @@
     entry::EntryKnobs entry;
     decision::AdmissionKnobs admission;
     decision::BottleneckKnobs bottlenecks;
+    decision::ReturnKnobs returns;
     relay::RelayKnobs relay;
     quarantine::QuarantineKnobs quarantine;
     quarantine::ExchangeKnobs quarantine_exchange;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -29,6 +29,12 @@
     return std::chrono::milliseconds(value);
 }
 
+relay::RelayKnobs relayKnobs(const Knobs& knobs) {
+    auto relay = knobs.relay;
+    relay.rejects_too_late = knobs.overload.return_priority;
+    return relay;
+}
+
 }  // namespace
 
 wire::NodeRecord SidecarNode::initialRecord(const Settings& settings) {
@@ -55,10 +61,11 @@
       relay_(
           ports.clock, ports.log, ports.instances, instance_, quarantine_, settings_.header_names,
           settings_.instance_address, [this](const std::string& service) { return hostShare(service); },
-          settings_.knobs.relay),
+          relayKnobs(settings_.knobs)),
       bottlenecks_(settings_.knobs.bottlenecks),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
       admission_(ports.random, settings_.knobs.admission),
+      returns_(ports.random, settings_.knobs.returns),
       entry_services_{ports.clock,
                       ports.random,
                       ports.log,
@@ -76,6 +83,7 @@
                           onRelayResult(plan, relay, result);
                       },
                       [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
+                      [this](const entry::EntryPlan& plan, Duration elapsed) { return reserveReturn(plan, elapsed); },
                       settings_.knobs.disabled},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_, settings_),
       shard_lease_manager_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
@@ -268,9 +276,26 @@
     }
     const auto bottleneck = bottlenecks_.bottleneckOf(now, route);
     plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, bottleneck.admit_ratio);
+    if (settings_.knobs.overload.return_priority && !bottleneck.service.empty()) {
+        plan->since_first = is_client_retry ? deadlines_.usual(route) - plan->caller_timeout : Duration::zero();
+        const auto [is_admitted, may_reserve] = decision::admitReturn(now, bottleneck, {plan->rank, is_client_retry},
+                                                                      plan->since_first, &admission_, &returns_);
+        plan->may_reserve_return = may_reserve;
+        return is_admitted;
+    }
     return admission_.admits(now, bottleneck, {plan->rank, is_client_retry});
 }
 
+/// The bottleneck is the current one: at the end of a long wait in a queue it may be another than at admission.
+std::optional<Duration> SidecarNode::reserveReturn(const entry::EntryPlan& plan, Duration elapsed) {
+    const auto now = ports_.clock.now();
+    const auto bottleneck = bottlenecks_.bottleneckOf(now, plan.route->name());
+    if (bottleneck.service.empty()) {
+        return std::nullopt;
+    }
+    return returns_.reserve(now, bottleneck.service, {plan.since_first + elapsed, plan.deadline - now});
+}
+
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
 double SidecarNode::hostShare(const std::string& service) const {
     const auto hosts = directory_.othersWithService(service).size() + (settings_.service == service ? 1 : 0);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -12,6 +12,7 @@
 
 #include "src/decision/admission.h"
 #include "src/decision/bottleneck_view.h"
+#include "src/decision/return_admission.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
@@ -121,6 +122,7 @@
     /// @return time since the table was last confirmed as the newest; nothing if it never was.
     [[nodiscard]] std::optional<Duration> tableAge() const { return lease_.age(ports_.clock.now()); }
     /// @return the retries of the local instance's service in the current window of the retry limit.
+    [[nodiscard]] const decision::ReturnTotals& returnTotals() const { return returns_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return relay_.retryWindow(); }
 
 private:
@@ -135,6 +137,7 @@
     [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
     bool admit(entry::EntryPlan* plan);
+    std::optional<Duration> reserveReturn(const entry::EntryPlan& plan, Duration elapsed);
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
     void publishSelf();
@@ -159,6 +162,7 @@
     decision::BottleneckView bottlenecks_;
     entry::RelaySelector selector_;
     decision::Admission admission_;
+    decision::Returns returns_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     quota::ShardLeaseManager shard_lease_manager_;
--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -90,6 +90,26 @@
     BOOST_TEST(shares.at(kClientRetry) < 0.01);
 }
 
+/// Guards against reservations that are worth nothing, or that are served beyond the ratio: returns that were reserved
+/// are admitted before the first attempts of their rank, after those of more urgent ranks, and count as arrivals.
+BOOST_AUTO_TEST_CASE(reserved_returns_are_admitted_before_first_attempts_of_their_rank_within_the_ratio) {
+    constexpr int kRounds = 4000;
+    constexpr double kRatio = 0.6;
+    int urgent = 0;
+    int returned = 0;
+    int first = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        urgent += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {0, false}) ? 1 : 0;
+        returned += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {1, false, true}) ? 1 : 0;
+        first += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {1, false}) ? 1 : 0;
+        time.advance(1ms);
+    }
+    BOOST_TEST(urgent == kRounds);
+    BOOST_TEST(returned > 2 * first, returned << " " << first);
+    const double admitted = static_cast<double>(urgent + returned + first) / (3 * kRounds);
+    BOOST_TEST(std::abs(admitted - kRatio) < 0.02, admitted);
+}
+
 /// Guards against ratios of request counts: the admission ratio applies to slot time, so costly requests weigh more.
 BOOST_AUTO_TEST_CASE(shares_are_of_work_and_not_of_requests) {
     constexpr int kRounds = 4000;
