Share a rank's minimum share by its total, and describe the returns of callers

Cause: the admission of a rank without returns has to be computed exactly as before, and the rule for returns had no unit test.

--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -37,17 +37,17 @@
 /// kept for its first attempts.
 /// @return the most slot time that is rejected from an order.
 double Admission::maxRejected(const Arrivals& arrivals, double min_share, std::uint32_t order) {
-    const auto slotTimeOf = [&](std::uint32_t other) {
+    const auto slot_time_of = [&](std::uint32_t other) {
         const auto found = arrivals.slot_time.find(other);
         return found == arrivals.slot_time.end() ? 0.0 : found->second;
     };
-    const double own = slotTimeOf(order);
     if (order >= kClientRetryOrder) {
-        return own;
+        return slot_time_of(order);
     }
-    const bool is_returns = order % kOrdersPerRank == 0;
-    const double kept = min_share * (own + slotTimeOf(is_returns ? order + 1 : order - 1));
-    return is_returns ? own - std::min(own, kept) : own - std::clamp(kept - slotTimeOf(order - 1), 0.0, own);
+    const auto first_order = order - order % kOrdersPerRank + 1;
+    const double first_attempts = slot_time_of(first_order);
+    const double of_rank = (1 - min_share) * (slot_time_of(first_order - 1) + first_attempts);
+    return order == first_order ? std::min(first_attempts, of_rank) : std::max(0.0, of_rank - first_attempts);
 }
 
 /// @return the share of the requests of an order to admit. Slot time is rejected from the least urgent rank upwards,
--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -110,6 +110,26 @@
     BOOST_TEST(std::abs(admitted - kRatio) < 0.02, admitted);
 }
 
+/// Guards against reservations that a less urgent rank cannot keep: its minimum share is for returns and first attempts
+/// together, returns first. Returns are a tenth of the rank here.
+BOOST_AUTO_TEST_CASE(the_minimum_share_of_a_rank_admits_its_reserved_returns_first) {
+    constexpr int kRounds = 4000;
+    int returned = 0;
+    int first = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        for (int urgent = 0; urgent < 5; ++urgent) {
+            admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {0, false});
+        }
+        returned += admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {1, false, true}) ? 1 : 0;
+        for (int other = 0; other < 9; ++other) {
+            first += admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {1, false}) ? 1 : 0;
+        }
+        time.advance(1ms);
+    }
+    BOOST_TEST(returned > 0.95 * kRounds, returned);
+    BOOST_TEST(first > 0.08 * 9 * kRounds, first);
+}
+
 /// Guards against ratios of request counts: the admission ratio applies to slot time, so costly requests weigh more.
 BOOST_AUTO_TEST_CASE(shares_are_of_work_and_not_of_requests) {
     constexpr int kRounds = 4000;
