--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -26,10 +26,13 @@
 
 /// A request that asks for admission.
 struct AdmissionRequest {
-    std::uint32_t rank = 0;        ///< The request's `policy::rankOf`; 0 is rejected last.
-    bool is_client_retry = false;  ///< Rejected before all first attempts, so that retrying gains a client nothing.
-    std::string flow = {};         ///< The tenant, or the route for callers without one; see `FlowShares`.
+    std::uint32_t rank = 0;           ///< The request's `policy::rankOf`; 0 is rejected last.
+    bool is_client_retry = false;     ///< Rejected before all first attempts, so that retrying gains a client nothing.
+    bool is_reserved_return = false;  ///< The client has waited as told: rejected after first attempts of its rank.
+    std::string flow = {};            ///< The tenant, or the route for callers without one; see `FlowShares`.
     std::optional<FleetRate> fleet_rate = std::nullopt;  ///< Of the flow, if known.
+};  ///< The tenant, or the route for callers without one; see `FlowShares`.
+std::optional<FleetRate> fleet_rate = std::nullopt;  ///< Of the flow, if known.
 };
 
 /// A request that was rejected for its flow's share; the probability of its rank would have admitted it.
@@ -52,13 +55,16 @@
     sigc::signal<void(const FlowRejection&)>& signalFlowRejected() { return signal_flow_rejected_; }
 
 private:
-    /// Slot time in seconds that arriving requests need at one bottleneck, by rank; decays exponentially.
+    /// Slot time in seconds that arriving requests need at one bottleneck; decays exponentially.
     struct Arrivals {
         TimePoint decayed_at{};
-        std::map<std::uint32_t, double> slot_time;
+        std::map<std::uint32_t, double> slot_time;  ///< By `orderOf`.
     };
+    /// @return the order of rejection: requests with the highest one are rejected first.
+    static std::uint32_t orderOf(const AdmissionRequest& request);
     static void decay(TimePoint now, Arrivals* arrivals);
-    [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t rank) const;
+    [[nodiscard]] static double maxRejected(const Arrivals& arrivals, double min_share, std::uint32_t order);
+    [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t order) const;
     bool admitsFlow(TimePoint now, const FlowRequest& request, double rank_probability);
 
     RandomSource& random_;
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -11,6 +11,7 @@
 #include "src/base/time.h"
 #include "src/decision/admission.h"
 #include "src/decision/retry_admission.h"
+#include "src/decision/returns.h"
 #include "src/entry/access_check.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
@@ -36,6 +37,7 @@
     decision::AdmissionKnobs admission;
     decision::RetryAdmissionKnobs retry_admission;
     decision::BottleneckKnobs bottlenecks;
+    decision::ReturnKnobs returns;
     relay::RelayKnobs relay;
     quarantine::QuarantineKnobs quarantine;
     quarantine::ExchangeKnobs quarantine_exchange;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -36,6 +36,7 @@
     auto& knobs = settings.knobs;
     knobs.relay.retry_admission = knobs.overload.retry_admission;
     knobs.bottlenecks.includes_retries = knobs.overload.retry_admission;
+    knobs.relay.rejects_too_late = knobs.overload.return_priority;
     return settings;
 }
 
@@ -71,6 +72,7 @@
       admission_(ports.random, settings_.knobs.admission, settings_.knobs.overload),
       retry_admission_(ports.random, settings_.knobs.retry_admission),
       flow_share_log_(ports.clock, ports.log),
+      returns_(ports.random, settings_.knobs.returns),
       entry_services_{ports.clock,
                       ports.random,
                       ports.log,
@@ -88,6 +90,7 @@
                           onRelayResult(plan, relay, result);
                       },
                       [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
+                      [this](const entry::EntryPlan& plan, Duration elapsed) { return reserveReturn(plan, elapsed); },
                       settings_.knobs.disabled},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_, settings_),
       shard_lease_manager_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
@@ -295,8 +298,17 @@
         chooseRetries(plan);
     }
     plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, probability * bottleneck.admit_ratio);
-    const auto flow = plan->tenant.empty() ? "route/" + route : "tenant/" + plan->tenant;
-    return admission_.admits(now, bottleneck, {plan->rank, is_client_retry, flow, fleetRateOf(plan->tenant)});
+    decision::AdmissionRequest request{plan->rank, is_client_retry};
+    request.flow = plan->tenant.empty() ? "route/" + route : "tenant/" + plan->tenant;
+    request.fleet_rate = fleetRateOf(plan->tenant);
+    if (!settings_.knobs.overload.return_priority || bottleneck.service.empty()) {
+        return admission_.admits(now, bottleneck, request);
+    }
+    plan->since_first = is_client_retry ? deadlines_.usual(route) - plan->caller_timeout : Duration::zero();
+    const auto [is_admitted, may_reserve] =
+        decision::admitReturn(now, bottleneck, request, plan->since_first, &admission_, &returns_);
+    plan->may_reserve_return = may_reserve;
+    return is_admitted;
 }
 
 /// @return nothing for a tenant whose row is no longer in the table.
@@ -311,6 +323,16 @@
     plan->may_retry = share <= 0 || ports_.random.unit() >= share;
 }
 
+/// The bottleneck is the current one: at the end of a long wait in a queue it may be another than at admission.
+std::optional<Duration> SidecarNode::reserveReturn(const entry::EntryPlan& plan, Duration elapsed) {
+    const auto now = ports_.clock.now();
+    const auto bottleneck = bottlenecks_.bottleneckOf(now, plan.route->name());
+    if (bottleneck.service.empty()) {
+        return std::nullopt;
+    }
+    return returns_.reserve(now, bottleneck.service, {plan.rank, plan.since_first + elapsed, plan.deadline - now});
+}
+
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
 double SidecarNode::hostShare(const std::string& service) const {
     const auto hosts = directory_.othersWithService(service).size() + (settings_.service == service ? 1 : 0);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -13,6 +13,7 @@
 #include "src/decision/admission.h"
 #include "src/decision/bottleneck_view.h"
 #include "src/decision/retry_admission.h"
+#include "src/decision/return_admission.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
@@ -127,6 +128,7 @@
     /// @return time since the table was last confirmed as the newest; nothing if it never was.
     [[nodiscard]] std::optional<Duration> tableAge() const { return lease_.age(ports_.clock.now()); }
     /// @return the retries of the local instance's service in the current window of the retry limit.
+    [[nodiscard]] const decision::ReturnTotals& returnTotals() const { return returns_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return relay_.retryWindow(); }
 
 private:
@@ -144,6 +146,7 @@
     void chooseRetries(entry::EntryPlan* plan);
     void countWasted(const std::string& route, const relay::RelayResult& result, const std::string& bottleneck);
     [[nodiscard]] std::optional<FleetRate> fleetRateOf(const std::string& tenant) const;
+    std::optional<Duration> reserveReturn(const entry::EntryPlan& plan, Duration elapsed);
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
     void publishSelf();
@@ -170,6 +173,7 @@
     decision::Admission admission_;
     decision::RetryAdmission retry_admission_;
     FlowShareLog flow_share_log_;
+    decision::Returns returns_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     quota::ShardLeaseManager shard_lease_manager_;
--- a/tests/unit/decision/admission_test.cc
+++ b/tests/unit/decision/admission_test.cc
@@ -91,6 +91,46 @@
     BOOST_TEST(shares.at(kClientRetry) < 0.01);
 }
 
+/// Guards against reservations that are worth nothing, or that are served beyond the ratio: returns that were reserved
+/// are admitted before the first attempts of their rank, after those of more urgent ranks, and count as arrivals.
+BOOST_AUTO_TEST_CASE(reserved_returns_are_admitted_before_first_attempts_of_their_rank_within_the_ratio) {
+    constexpr int kRounds = 4000;
+    constexpr double kRatio = 0.6;
+    int urgent = 0;
+    int returned = 0;
+    int first = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        urgent += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {0, false}) ? 1 : 0;
+        returned += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {1, false, true}) ? 1 : 0;
+        first += admission.admits(time.clock.now(), {"leaf", kRatio, 40ms}, {1, false}) ? 1 : 0;
+        time.advance(1ms);
+    }
+    BOOST_TEST(urgent == kRounds);
+    BOOST_TEST(returned > 2 * first, returned << " " << first);
+    const double admitted = static_cast<double>(urgent + returned + first) / (3 * kRounds);
+    BOOST_TEST(std::abs(admitted - kRatio) < 0.02, admitted);
+}
+
+/// Guards against reservations that a less urgent rank cannot keep: its minimum share is for returns and first attempts
+/// together, returns first. Returns are a tenth of the rank here.
+BOOST_AUTO_TEST_CASE(the_minimum_share_of_a_rank_admits_its_reserved_returns_first) {
+    constexpr int kRounds = 4000;
+    int returned = 0;
+    int first = 0;
+    for (int round = 0; round < kRounds; ++round) {
+        for (int urgent = 0; urgent < 5; ++urgent) {
+            admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {0, false});
+        }
+        returned += admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {1, false, true}) ? 1 : 0;
+        for (int other = 0; other < 9; ++other) {
+            first += admission.admits(time.clock.now(), {"leaf", 0.4, 40ms}, {1, false}) ? 1 : 0;
+        }
+        time.advance(1ms);
+    }
+    BOOST_TEST(returned > 0.95 * kRounds, returned);
+    BOOST_TEST(first > 0.08 * 9 * kRounds, first);
+}
+
 /// Guards against ratios of request counts: the admission ratio applies to slot time, so costly requests weigh more.
 BOOST_AUTO_TEST_CASE(shares_are_of_work_and_not_of_requests) {
     constexpr int kRounds = 4000;
@@ -114,7 +154,7 @@
         const bool is_retry = request % 7 == 0;
         const bool is_admitted =
             admission.admits(time.clock.now(), {"leaf", 0.6, 40ms},
-                             {rank, is_retry, "tenant/" + std::to_string(request % 11), FleetRate{50, 1s}});
+                             {rank, is_retry, false, "tenant/" + std::to_string(request % 11), FleetRate{50, 1s}});
         BOOST_REQUIRE(is_admitted == without_flows.admits(time.clock.now(), {"leaf", 0.6, 40ms}, {rank, is_retry}));
         time.advance(1ms);
     }
@@ -136,8 +176,8 @@
         const auto key = rank + (is_retry ? kClientRetry : 0);
         const decision::Bottleneck bottleneck{"leaf", 0.5 + 0.2 * std::sin(request / 3000.0), 40ms};
         requests[key] += 1;
-        of_fair[key] += fair.admits(time.clock.now(), bottleneck, {rank, is_retry, flow}) ? 1 : 0;
-        of_rank[key] += admission.admits(time.clock.now(), bottleneck, {rank, is_retry, flow}) ? 1 : 0;
+        of_fair[key] += fair.admits(time.clock.now(), bottleneck, {rank, is_retry, false, flow}) ? 1 : 0;
+        of_rank[key] += admission.admits(time.clock.now(), bottleneck, {rank, is_retry, false, flow}) ? 1 : 0;
         time.advance(500us);
     }
     for (const auto& [key, count] : requests) {
