--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -31,8 +31,6 @@
     bool is_reserved_return = false;  ///< The client has waited as told: rejected after first attempts of its rank.
     std::string flow = {};            ///< The tenant, or the route for callers without one; see `FlowShares`.
     std::optional<FleetRate> fleet_rate = std::nullopt;  ///< Of the flow, if known.
-};  ///< The tenant, or the route for callers without one; see `FlowShares`.
-std::optional<FleetRate> fleet_rate = std::nullopt;  ///< Of the flow, if known.
 };
 
 /// A request that was rejected for its flow's share; the probability of its rank would have admitted it.
--- a/tests/support/flow_replay.h
+++ b/tests/support/flow_replay.h
@@ -152,7 +152,7 @@
     }
 
     bool send(TimePoint now, const ReplayFlow& flow, bool is_client_retry) {
-        decision::AdmissionRequest request{0, is_client_retry, flow.name};
+        decision::AdmissionRequest request{0, is_client_retry, false, flow.name};
         if (flow.is_tenant && options_.has_owners(now)) {
             owner_.onAsked(now, flow.name, 1);
             if (const double rate = owner_.perSecond(now, flow.name); rate > 0) {
