Read the load that instances name, and estimate their pace at the relay

Cause: an instance that slows down shows it in a header of each response, which no part of the node reads; a relay learns of it only when slow responses have ended, and queues until then what the instance cannot start in time. Change: HeaderNames::server_load; balancing::LoadReport parses it, invalid values are counted and logged once an incarnation. balancing::PaceEstimate combines the named pace with measured times. With QueueKnobs::uses_pace (off by default) the expected wait follows it, and QueueLoad and the result header carry pace and age.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -68,6 +68,10 @@
              signals.rateLimit().limit().value_or(-1));
     setGauge("dewcrank_instance_rate_limits_invalid", "Limits named by the instance that could not be used.",
              static_cast<double>(signals.invalidRateLimits()));
+    setGauge("dewcrank_instance_loads_invalid", "Loads named by the instance that could not be used.",
+             static_cast<double>(signals.invalidLoads()));
+    setGauge("dewcrank_instance_pace", "Present service time of the instance by its usual one; 0: not known.",
+             instance_load.pace);
     setGauge("dewcrank_instance_headers_unread", "Different headers of the instance's responses that nothing reads.",
              static_cast<double>(signals.unreadHeaders()));
     setGauge("dewcrank_suspects", "Requests that ran when an instance of the service ended.",
--- a/src/base/header_names.h
+++ b/src/base/header_names.h
@@ -17,6 +17,7 @@
     std::string tenant = "x-tenant";                        ///< Request: the caller's tenant, set by the entry.
     std::string auth_scheme = "Bearer";           ///< Scheme of the `Authorization` header with a caller's key.
     std::string server_stamp = "x-server-stamp";  ///< Response: signature of the instance, on its own responses only.
+    std::string server_load = "x-server-load";    ///< Response: running, waiting, slots and pace of the instance.
     /// Response: requests per second that the instance takes from all callers together. Any of these names.
     std::vector<std::string> rate_limit = {"x-rate-limit"};
     /// Response: "1" if the instance is leaving. Any of these names.
--- a/src/relay/instance_queue.cc
+++ b/src/relay/instance_queue.cc
@@ -6,9 +6,13 @@
 
 namespace dewcrank::relay {
 
+Duration QueueLoad::presentServiceTime() const {
+    return pace > 0 ? fromSeconds(toSeconds(mean_service_time) * pace) : mean_service_time;
+}
+
 double QueueLoad::capacity() const {
     const double slots = limit;
-    return rate_limit ? std::min(slots, *rate_limit * toSeconds(mean_service_time)) : slots;
+    return rate_limit ? std::min(slots, *rate_limit * toSeconds(presentServiceTime())) : slots;
 }
 
 void InstanceQueue::setRateLimit(std::optional<double> rate) {
@@ -21,12 +25,17 @@
     admitWaiting();
 }
 
+Duration InstanceQueue::expectedServiceTime() const {
+    const auto pace = knobs_.uses_pace ? pace_.at(clock_.now()) : std::nullopt;
+    return pace ? fromSeconds(toSeconds(pace->usual_time) * pace->pace) : mean_service_time_;
+}
+
 Duration InstanceQueue::slotWaitBehind(std::size_t ahead) const {
     if (running_ + ahead < limit_) {
         return {};
     }
     const auto slots = std::max<std::int64_t>(1, limit_);
-    return mean_service_time_ * static_cast<std::int64_t>(ahead + 1) / slots;
+    return expectedServiceTime() * static_cast<std::int64_t>(ahead + 1) / slots;
 }
 
 Duration InstanceQueue::expectedWait(TimePoint virtual_deadline) const {
@@ -71,6 +80,7 @@
 void InstanceQueue::leave(Duration time) {
     --running_;
     if (time > Duration::zero()) {
+        pace_.onServiceTime(clock_.now(), time);
         const auto change = static_cast<double>((time - mean_service_time_).count()) * knobs_.time_weight;
         mean_service_time_ += Duration(static_cast<std::int64_t>(change));
     }
@@ -97,12 +107,18 @@
 }
 
 QueueLoad InstanceQueue::load() const {
-    return {running_,
-            static_cast<std::uint32_t>(waiting_.size()),
-            limit_,
-            mean_service_time_,
-            rate_limiter_.rate(),
-            rate_limiter_.waitBehind(waiting_.size())};
+    QueueLoad load{running_,
+                   static_cast<std::uint32_t>(waiting_.size()),
+                   limit_,
+                   mean_service_time_,
+                   rate_limiter_.rate(),
+                   rate_limiter_.waitBehind(waiting_.size())};
+    if (const auto pace = knobs_.uses_pace ? pace_.at(clock_.now()) : std::nullopt) {
+        load.mean_service_time = pace->usual_time;
+        load.pace = pace->pace;
+        load.pace_age = pace->age;
+    }
+    return load;
 }
 
 }  // namespace dewcrank::relay
--- a/src/relay/instance_signals.cc
+++ b/src/relay/instance_signals.cc
@@ -28,6 +28,10 @@
         signals.rate_limit = parseRateLimit(limit->value);
         signals.has_invalid_rate_limit = !signals.rate_limit;
     }
+    if (response.headers.has(names.server_load)) {
+        signals.load = balancing::parseLoadReport(response.headers.get(names.server_load));
+        signals.has_invalid_load = !signals.load;
+    }
     return signals;
 }
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -186,7 +186,8 @@
         return {};
     }
     const auto load = queue_.load();
-    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting, reporting);
+    return demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.presentServiceTime() * load.waiting,
+                        reporting);
 }
 
 SendTotals RelayService::sendTotals() const {
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -18,9 +18,12 @@
 /// limit, mean service time in microseconds, kind of the route, demand, capacity and busy slots in thousandths, slot
 /// time of the route in microseconds, bottleneck of its calls, admission ratio of that in thousandths and cost in
 /// microseconds, failed_downstream, 0 or the age of the sender's table in microseconds plus one, is_retry_paid, start
-/// time of the instance, is_leaving, is_rate_limit_known, rate limit of the instance, wait for it in microseconds.
+/// time of the instance, is_leaving, is_rate_limit_known, rate limit of the instance, wait for it in microseconds,
+/// pace of the instance in thousandths (0: unknown) and its age in milliseconds.
 constexpr std::string_view kResultHeader = "dewcrank-relay-result";
 constexpr double kThousand = 1000;
+constexpr double kMaxPace = 100;                 ///< Times the usual service time.
+constexpr std::int64_t kMaxPaceAgeMs = 3600000;  ///< One hour; a pace that old is of no use.
 /// Kind of a route: whether external callers or only instances call it, or not enough requests to tell.
 constexpr std::int64_t kExternal = 0;
 constexpr std::int64_t kInternal = 1;
@@ -67,6 +70,20 @@
     return load;
 }
 
+void writePace(FieldWriter* fields, const QueueLoad& load) {
+    fields->add(toThousandths(load.pace)).add(toMilliseconds(load.pace_age));
+}
+
+/// A pace that is out of range reads as unknown.
+void readPace(FieldReader* fields, QueueLoad* load) {
+    const double pace = fromThousandths(fields->number());
+    const auto age_ms = std::clamp<std::int64_t>(fields->number(), 0, kMaxPaceAgeMs);
+    if (pace > 0 && pace <= kMaxPace) {
+        load->pace = pace;
+        load->pace_age = std::chrono::milliseconds(age_ms);
+    }
+}
+
 void write(FieldWriter* fields, const InstanceNotice& notice) {
     fields->add(static_cast<std::int64_t>(notice.start_ms)).add(notice.is_leaving ? 1 : 0);
     fields->add(notice.is_rate_limit_known ? 1 : 0).add(toRateField(notice.rate_limit));
@@ -175,6 +192,7 @@
     fields.add(result.is_retry_paid ? 1 : 0);
     write(&fields, result.notice);
     fields.add(result.load.rate_wait.count());
+    writePace(&fields, result.load);
     auto response = std::move(result.response);
     if (result.outcome != RelayOutcome::kResponded) {
         response.status = kHttpOk;
@@ -209,6 +227,7 @@
     result.notice = readNotice(&fields);
     result.load.rate_limit = result.notice.rate_limit;
     result.load.rate_wait = Duration(fields.number());
+    readPace(&fields, &result.load);
     response.headers.removePrefix(kRelayHeaderPrefix);
     result.response = std::move(response);
     return received;
--- a/src/relay/signal_handler.cc
+++ b/src/relay/signal_handler.cc
@@ -1,5 +1,7 @@
 #include "src/relay/signal_handler.h"
 
+#include <utility>
+
 namespace dewcrank::relay {
 
 namespace {
@@ -22,6 +24,8 @@
 void SignalHandler::onNewIncarnation() {
     rate_limit_.reset();
     has_logged_invalid_ = false;
+    has_logged_invalid_load_ = false;
+    queue_.resetPace();
     queue_.setRateLimit(std::nullopt);
 }
 
@@ -38,6 +42,7 @@
         const auto* const header = response.headers.findAny(names_.rate_limit);
         applyRateLimit(incarnation, request_id, header == nullptr ? "response" : header->name);
     }
+    onLoad(signals, response, incarnation);
     if (signals.is_leaving && !disabled_.leaving_check && instance_.onLeaving()) {
         log_.write(Event("instance_leaving").with("instance", incarnation).with("request", request_id));
     }
@@ -62,6 +67,21 @@
                    .with("value", response.headers.findAny(names_.rate_limit)->value.substr(0, kMaxValueLength)));
 }
 
+void SignalHandler::onLoad(const InstanceSignals& signals, const HttpResponse& response,
+                           const std::string& incarnation) {
+    if (signals.load) {
+        queue_.onLoadReport(*signals.load);
+    }
+    if (!signals.has_invalid_load) {
+        return;
+    }
+    ++invalid_loads_;
+    if (!std::exchange(has_logged_invalid_load_, true)) {
+        const auto value = response.headers.get(names_.server_load).substr(0, kMaxValueLength);
+        log_.write(Event("server_load_invalid").with("instance", incarnation).with("value", std::string(value)));
+    }
+}
+
 void SignalHandler::applyRateLimit(const std::string& incarnation, const std::string& request_id,
                                    const std::string& source) {
     const auto previous = queue_.load().rate_limit;
--- a/src/relay/signal_handler.h
+++ b/src/relay/signal_handler.h
@@ -1,5 +1,6 @@
 /// @file
-/// Applies what the local instance says about itself in its responses: its rate limit, and that it is leaving.
+/// Applies what the local instance says about itself in its responses: its rate limit, its load, and that it is
+/// leaving.
 #pragma once
 
 #include <sigc++/sigc++.h>
@@ -26,6 +27,7 @@
 /// Log events:
 ///   rate_limit_changed    the instance names a rate limit, another one, or none any more
 ///   rate_limit_invalid    the instance names a rate limit that is not a number in range; once an incarnation
+///   server_load_invalid   the instance names a load that cannot be used; once an incarnation
 ///   instance_leaving      the instance says in a response that it is leaving
 class SignalHandler {
 public:
@@ -45,11 +47,14 @@
     [[nodiscard]] const NamedRateLimit& rateLimit() const { return rate_limit_; }
     /// @return the number of rate limits named since the start that could not be used.
     [[nodiscard]] std::uint64_t invalidRateLimits() const { return invalid_rate_limits_; }
+    /// @return the number of loads named since the start that could not be used.
+    [[nodiscard]] std::uint64_t invalidLoads() const { return invalid_loads_; }
     /// @return the number of different headers in responses of the instance that nothing reads.
     [[nodiscard]] std::size_t unreadHeaders() const { return unread_headers_.count(); }
 
 private:
     void onInvalidRateLimit(const HttpResponse& response, const std::string& incarnation);
+    void onLoad(const InstanceSignals& signals, const HttpResponse& response, const std::string& incarnation);
     /// @param source name of the header that named the limit, "response" if none did, or "peer".
     void applyRateLimit(const std::string& incarnation, const std::string& request_id, const std::string& source);
 
@@ -63,7 +68,9 @@
     NamedRateLimit rate_limit_;
     sigc::signal<void()> signal_rate_limit_changed_;
     std::uint64_t invalid_rate_limits_ = 0;
-    bool has_logged_invalid_ = false;  ///< Of the current incarnation.
+    std::uint64_t invalid_loads_ = 0;
+    bool has_logged_invalid_ = false;       ///< Rate limit of the current incarnation.
+    bool has_logged_invalid_load_ = false;  ///< Load of the current incarnation.
 };
 
 }  // namespace dewcrank::relay
--- a/src/relay/unread_headers.cc
+++ b/src/relay/unread_headers.cc
@@ -37,7 +37,7 @@
 
 UnreadHeaders::UnreadHeaders(EventLog& log, const HeaderNames& names)
     : log_(log), known_(std::begin(kHttpHeaders), std::end(kHttpHeaders)) {
-    known_.insert({names.request_id, names.not_executed, names.instance_id, names.server_stamp});
+    known_.insert({names.request_id, names.not_executed, names.instance_id, names.server_stamp, names.server_load});
     known_.insert(names.rate_limit.begin(), names.rate_limit.end());
     known_.insert(names.leaving.begin(), names.leaving.end());
 }
--- a/tests/unit/relay/relay_parts_test.cc
+++ b/tests/unit/relay/relay_parts_test.cc
@@ -368,7 +368,7 @@
         result.reason = relay::RelayReason::kQueueTooLong;
         result.was_sent = true;
         result.response.status = 418;
-        result.load = {4, 5, 6, 7ms, 0, 31ms};
+        result.load = {4, 5, 6, 7ms, 0, 31ms, 2.5, 40ms};
         result.notice = {1234567890123, true, true, 0};
         result.report.downstream = {"leaf", 0.25, 88ms};
         result.report.load = {30.5, 18, 17.25};
@@ -382,6 +382,8 @@
         BOOST_TEST((back.reason == result.reason));
         BOOST_TEST(back.load.waiting == 5U);
         BOOST_TEST((back.load.mean_service_time == 7ms));
+        BOOST_TEST(back.load.pace == 2.5);
+        BOOST_TEST((back.load.pace_age == 40ms));
         BOOST_TEST(back.report.downstream.service == "leaf");
         BOOST_TEST(back.report.downstream.admit_ratio == 0.25);
         BOOST_TEST((back.report.downstream.cost == 88ms));
