Choose relays by the pace of their instances and by the utilization of their zones

Cause: entries fill all instances alike, whatever their speed, choose the same one when reports are old, and spread requests over all zones as soon as all zones are busy. Change: balancing::ServiceView keeps the means of a service, balancing::RelayCost weighs the utilization by the relative service time and limits the preference for the own zone. RelaySelector uses them while pace_balancing or zone_balancing is on; SidecarNode passes the switches on. With both off the formula of the cost is the same.

--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -7,14 +7,15 @@
 
 namespace {
 
-constexpr double kMinRate = 1e-3;      ///< Requests per second; avoids a division by zero.
-constexpr double kMinCapacity = 1e-3;  ///< Slots; avoids a division by zero.
+constexpr double kMinRate = 1e-3;            ///< Requests per second; avoids a division by zero.
+constexpr double kMinCapacity = 1e-3;        ///< Slots; avoids a division by zero.
+constexpr double kMinServiceSeconds = 1e-4;  ///< Avoids a division by zero.
 
 }  // namespace
 
 RelaySelector::RelaySelector(Clock& clock, RandomSource& random, const fleet::NodeDirectory& directory,
                              SelectorKnobs knobs)
-    : clock_(clock), random_(random), directory_(directory), knobs_(knobs) {}
+    : clock_(clock), random_(random), directory_(directory), knobs_(knobs), balancer_(knobs.balancing) {}
 
 bool RelaySelector::serves(const wire::NodeRecord& record, const std::string& service) const {
     return fleet::NodeDirectory::isServing(record) && record.instance().service() == service &&
@@ -48,7 +49,45 @@
     return std::min(1.0, (in_flight + 1) / std::max(load.capacity(), kMinCapacity));
 }
 
-double RelaySelector::costOf(TimePoint now, const Candidate& candidate) {
+double RelaySelector::coldCost(const Candidate& candidate, double cost) const {
+    return candidate.cold_left > Duration::zero() ? cost * knobs_.cold_factor + knobs_.cold_cost : cost;
+}
+
+/// With balancing by pace, a cold instance is judged by its pace, and until that is known as any other of its service.
+double RelaySelector::balancedCost(const Choice& choice, const Candidate& candidate, const RelayStats& stats,
+                                   double freshness) const {
+    const double slots = std::max<std::uint32_t>(1, candidate.record.instance().slots());
+    const auto age = choice.now - stats.reported_at;
+    const double service_seconds = std::max(kMinServiceSeconds, toSeconds(stats.load.presentServiceTime()));
+    const double utilization = balancing::expectedUtilization(
+        {static_cast<double>(stats.load.running) + stats.load.waiting,
+         static_cast<double>(stats.in_flight - stats.in_flight_at_report), freshness,
+         std::min(1.0, toSeconds(age) / service_seconds), choice.view->utilization(choice.now, stats.zone) * slots,
+         choice.traffic_factor, slots});
+    if (!balancer_.costKnobs().uses_pace) {
+        return coldCost(candidate, utilization);
+    }
+    if (stats.load.pace <= 0) {
+        return utilization;
+    }
+    const double relative_time =
+        balancer_.relativeTime(*choice.view, stats.load.presentServiceTime(), age + stats.load.pace_age);
+    return balancing::pacedCost(utilization, relative_time, balancer_.costKnobs());
+}
+
+/// A relay at full load gets no zone penalty: capacity counts more than locality then. With balancing by zone, the
+/// utilization of the whole zones decides, which differs less by chance than that of single relays.
+double RelaySelector::otherZoneCost(const Choice& choice, const RelayStats& stats, double cost) const {
+    if (!balancer_.costKnobs().uses_zones) {
+        return knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
+    }
+    const double other = choice.view->utilization(choice.now, stats.zone);
+    return knobs_.other_zone_cost *
+           balancing::zonePreference(choice.own_zone_utilization, other, balancer_.costKnobs());
+}
+
+double RelaySelector::costOf(const Choice& choice, const Candidate& candidate) {
+    const auto now = choice.now;
     const auto& stats = statsOf(candidate.ordinal);
     const auto age = now - stats.reported_at;
     const double weight =
@@ -58,13 +97,15 @@
     const double slots = std::max<std::uint32_t>(1, candidate.record.instance().slots());
     const double in_flight = std::max(0.0, reported_load + sent_since);
     const bool is_limited = stats.load.rate_limit && age <= knobs_.rate_limit_memory;
-    double cost = is_limited ? limitedUtilization(stats.load, in_flight, sent_since, age) : in_flight / slots;
-    if (candidate.cold_left > Duration::zero()) {
-        cost = cost * knobs_.cold_factor + knobs_.cold_cost;
+    double cost = 0;
+    if (choice.view != nullptr && !is_limited) {
+        cost = balancedCost(choice, candidate, stats, weight);
+    } else {
+        cost = is_limited ? limitedUtilization(stats.load, in_flight, sent_since, age) : in_flight / slots;
+        cost = coldCost(candidate, cost);
     }
     if (candidate.record.zone() != directory_.self().zone()) {
-        // A relay at full load gets no zone penalty: capacity counts more than locality then.
-        cost += knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
+        cost += otherZoneCost(choice, stats, cost);
     }
     cost += knobs_.failure_cost * stats.failures.decayedMean(now);
     if (candidate.is_suspected) {
@@ -73,15 +114,25 @@
     return cost + knobs_.max_random_cost * random_.unit();
 }
 
+RelaySelector::Choice RelaySelector::choiceFor(const std::string& service, TimePoint now) {
+    if (!balancer_.isOn()) {
+        return {now, nullptr, 0, 1};
+    }
+    const auto& view = balancer_.view(service);
+    const auto own_zone = balancer_.zoneNumber(directory_.self().zone());
+    return {now, &view, view.utilization(now, own_zone), view.trafficFactor()};
+}
+
 RelayTarget RelaySelector::choose(const std::string& service, const std::set<std::string>& excluded) {
     const auto now = clock_.now();
     const wire::NodeRecord* best = nullptr;
     double least_cost = std::numeric_limits<double>::max();
+    const auto choice = choiceFor(service, now);
     const auto consider = [&](const Candidate& candidate) {
         if (excluded.contains(candidate.record.name())) {
             return;
         }
-        const double cost = costOf(now, candidate);
+        const double cost = costOf(choice, candidate);
         if (cost < least_cost) {
             least_cost = cost;
             best = &candidate.record;
@@ -158,6 +209,25 @@
     stats.load = load;
     stats.reported_at = clock_.now();
     stats.in_flight_at_report = stats.in_flight;
+    if (balancer_.isOn()) {
+        addToView(node, &stats);
+    }
+}
+
+void RelaySelector::addToView(const std::string& node, RelayStats* stats) {
+    const auto* const record = directory_.record(node);
+    if (record == nullptr) {
+        return;
+    }
+    stats->zone = balancer_.zoneNumber(record->zone());
+    const auto& load = stats->load;
+    balancing::RelayReport report{stats->zone, static_cast<double>(load.running) + load.waiting,
+                                  static_cast<double>(record->instance().slots()),
+                                  static_cast<double>(stats->in_flight), std::nullopt};
+    if (load.pace > 0) {
+        report.service_time = load.presentServiceTime();
+    }
+    balancer_.view(record->instance().service()).onReport(stats->reported_at, report);
 }
 
 void RelaySelector::onOutcome(const std::string& node, bool has_failed) {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/balancing/balancer.h"
 #include "src/base/decaying_mean.h"
 #include "src/entry/known_signals.h"
 #include "src/fleet/node_directory.h"
@@ -29,6 +30,7 @@
     Duration failure_decay = 2s;  ///< Decay time of that mean.
     /// A reported rate limit counts for this long; then a request is to find out whether it still applies.
     Duration rate_limit_memory = 5s;
+    balancing::BalancerKnobs balancing;  ///< By pace and by zone; off by default.
 };
 
 /// Where a request is sent.
@@ -77,9 +79,10 @@
         explicit RelayStats(Duration failure_decay) : failures(failure_decay) {}
         relay::QueueLoad load;
         TimePoint reported_at{};
-        int in_flight = 0;            ///< Attempts sent by this node that have not ended.
-        int in_flight_at_report = 0;  ///< `in_flight` at `reported_at`.
-        DecayingMean failures;        ///< 1 for each call that failed, 0 for each other.
+        int in_flight = 0;                           ///< Attempts sent by this node that have not ended.
+        int in_flight_at_report = 0;                 ///< `in_flight` at `reported_at`.
+        DecayingMean failures;                       ///< 1 for each call that failed, 0 for each other.
+        std::size_t zone = balancing::kUnknownZone;  ///< Of its node at the last report.
     };
     [[nodiscard]] bool serves(const wire::NodeRecord& record, const std::string& service) const;
     [[nodiscard]] bool serves(const fleet::KnownNode& node, const std::string& service) const {
@@ -96,7 +99,24 @@
     };
     RelayStats& statsOf(std::size_t ordinal);
     RelayStats& statsOf(const std::string& node) { return statsOf(directory_.ordinalOf(node)); }
-    double costOf(TimePoint now, const Candidate& candidate);
+    /// What is the same for all candidates of a choice.
+    struct Choice {
+        TimePoint now{};
+        const balancing::ServiceView* view = nullptr;  ///< Null if balancing by pace and by zone is off.
+        double own_zone_utilization = 0;
+        double traffic_factor = 1;  ///< See ServiceView.
+    };
+    Choice choiceFor(const std::string& service, TimePoint now);
+    double costOf(const Choice& choice, const Candidate& candidate);
+    /// @param freshness weight of the last report.
+    /// @return the cost of a relay without a rate limit by its load and the pace of its instance.
+    [[nodiscard]] double balancedCost(const Choice& choice, const Candidate& candidate, const RelayStats& stats,
+                                      double freshness) const;
+    /// @param cost of a relay of another zone. @return what the preference for the own zone adds to it.
+    [[nodiscard]] double otherZoneCost(const Choice& choice, const RelayStats& stats, double cost) const;
+    /// Adds the last report of a relay to the view of its service.
+    void addToView(const std::string& node, RelayStats* stats);
+    [[nodiscard]] double coldCost(const Candidate& candidate, double cost) const;
     /// @param in_flight requests that run or wait at the relay. @param age of its report.
     /// @return the utilization of an instance with a rate limit: below 1 only if a request could be sent at once.
     [[nodiscard]] static double limitedUtilization(const relay::QueueLoad& load, double in_flight, double sent_since,
@@ -107,6 +127,7 @@
     RandomSource& random_;
     const fleet::NodeDirectory& directory_;
     SelectorKnobs knobs_;
+    balancing::Balancer balancer_;
     KnownSignals known_signals_;
     std::vector<RelayStats> stats_;  ///< Indexed by the node's ordinal in the directory; 0 is this node.
 };
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -29,6 +29,15 @@
     return std::chrono::milliseconds(value);
 }
 
+/// Passes the switches of the optional parts to the parts that decide by them.
+Settings withOverloadSwitches(Settings settings) {
+    const auto& overload = settings.knobs.overload;
+    settings.knobs.selector.balancing.cost.uses_pace = overload.pace_balancing;
+    settings.knobs.selector.balancing.cost.uses_zones = overload.zone_balancing;
+    settings.knobs.relay.queue.uses_pace = overload.pace_balancing;
+    return settings;
+}
+
 }  // namespace
 
 wire::NodeRecord SidecarNode::initialRecord(const Settings& settings) {
@@ -42,7 +51,7 @@
 
 SidecarNode::SidecarNode(const Ports& ports, Settings settings)
     : ports_(ports),
-      settings_(std::move(settings)),
+      settings_(withOverloadSwitches(std::move(settings))),
       table_(settings_.incarnation),
       lease_(settings_.knobs.table_lease),
       directory_(ports.clock, initialRecord(settings_)),
