--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -83,8 +83,10 @@
 }
 
 SidecarFleet::SidecarFleet(std::uint64_t seed, const std::vector<FleetService>& services,
-                           const DisabledMechanisms& disabled, std::vector<wire::Tenant> tenants, std::size_t seeds)
+                           const DisabledMechanisms& disabled, std::vector<wire::Tenant> tenants, std::size_t seeds,
+                           const OverloadFeatures& overload)
     : disabled_(disabled),
+      overload_(overload),
       tenants_(std::move(tenants)),
       random_(seed),
       network_(queue_, random_, NetworkOptions{}),
@@ -193,6 +195,7 @@
     }
     settings.knobs.relay.retry_limit = kRetryLimit;
     settings.knobs.disabled = disabled_;
+    settings.knobs.overload = overload_;
     settings.knobs.relay.disabled = disabled_;
     settings.knobs.gossip.disabled = disabled_;
     settings.knobs.table_lease.disabled = disabled_;
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -84,8 +84,9 @@
     /// @param disabled mechanisms that are switched off in every node.
     /// @param tenants of the tables that are put; if there are any, nodes enforce `kRevocationBound`.
     /// @param seeds how many of the first machines are gossip seeds of all nodes.
+    /// @param overload optional parts that are on in every node.
     SidecarFleet(std::uint64_t seed, const std::vector<FleetService>& services, const DisabledMechanisms& disabled = {},
-                 std::vector<wire::Tenant> tenants = {}, std::size_t seeds = 3);
+                 std::vector<wire::Tenant> tenants = {}, std::size_t seeds = 3, const OverloadFeatures& overload = {});
     ~SidecarFleet();
     SidecarFleet(const SidecarFleet&) = delete;
     SidecarFleet& operator=(const SidecarFleet&) = delete;
@@ -197,6 +198,7 @@
     void recordTenants();
 
     DisabledMechanisms disabled_;
+    OverloadFeatures overload_;
     std::vector<wire::Tenant> tenants_;
     std::vector<TenantVersion> tenant_versions_;  ///< Of all tables, in order.
     std::array<std::string, 3> routed_services_;  ///< Services of the last table's routes.
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -1,6 +1,7 @@
 #include "sim/sidecar_instance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -168,7 +169,7 @@
         running_[run_id].timer = host_.startTimer(options_.crash_delay, [this] { crashAndRestart(); });
         return;
     }
-    const double factor = 0.5 + random_.unit();
+    const double factor = (0.5 + random_.unit()) * options_.pace / options_.speed;
     const auto time = Duration(static_cast<std::int64_t>(static_cast<double>(options_.work_time.count()) * factor));
     running_[run_id].timer = host_.startTimer(time, [this, run_id] { finishRun(run_id); });
 }
@@ -219,6 +220,12 @@
         changes.push_back({queue_.now(), signals});
     }
     writeSignals(signals, names_, &response->headers);
+    if (options_.names_load) {
+        const auto pace_percent = std::lround(100 * options_.pace);
+        response->headers.set(names_.server_load, std::to_string(running_.size()) + ",0," +
+                                                      std::to_string(options_.slots) + "," +
+                                                      std::to_string(pace_percent));
+    }
 }
 
 void SidecarInstance::failRun(std::uint64_t run_id) {
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -40,6 +40,9 @@
     Duration restart_delay = 1500ms;        ///< From such a crash to the restart.
     std::optional<double> rate_limit;       ///< Requests per second that responses name as its limit; none: no limit.
     bool says_leaving = false;              ///< Responses say that the instance is leaving.
+    double speed = 1;                       ///< Divides `work_time`; no response names it.
+    double pace = 1;                        ///< Multiplies `work_time`; named as pace if responses name the load.
+    bool names_load = false;                ///< Responses name running requests, slots and pace.
     bool fails_with_internal_call = false;  ///< A run fails with status 500 as soon as one of its calls fails.
 };
 
--- a/src/balancing/balancer.cc
+++ b/src/balancing/balancer.cc
@@ -21,8 +21,8 @@
     return std::clamp(1 - static_cast<double>(age.count()) / static_cast<double>(knobs_.pace_memory.count()), 0.0, 1.0);
 }
 
-double Balancer::relativeTime(const ServiceView& view, Duration service_time, Duration age) const {
-    const double relative = knobs_.cost.uses_pace ? view.relativeTime(service_time) : 1;
+double Balancer::relativeTime(const ServiceValues& values, Duration service_time, Duration age) const {
+    const double relative = knobs_.cost.uses_pace ? values.relativeTime(service_time) : 1;
     return boundedRelativeTime(relative, freshness(age), knobs_.cost);
 }
 
--- a/src/balancing/balancer.h
+++ b/src/balancing/balancer.h
@@ -36,7 +36,7 @@
     ServiceView& view(const std::string& service);
     /// @param age of the service time.
     /// @return the factor for `pacedCost`; 1 if balancing by pace is off.
-    [[nodiscard]] double relativeTime(const ServiceView& view, Duration service_time, Duration age) const;
+    [[nodiscard]] double relativeTime(const ServiceValues& values, Duration service_time, Duration age) const;
     /// @return the weight of a service time of this age, from 0 to 1.
     [[nodiscard]] double freshness(Duration age) const;
 
--- a/src/balancing/relay_cost.h
+++ b/src/balancing/relay_cost.h
@@ -11,8 +11,9 @@
     double min_relative_time = 0.25;
     double max_relative_time = 4;
     /// Cost of an idle instance per unit by which its relative service time exceeds 1; falls to zero as the instance
-    /// fills. Without it an idle slow instance would be as good as an idle fast one.
-    double idle_time_cost = 0.1;
+    /// fills. Without it an idle slow instance would be as good as an idle fast one. At 0.3 the recovery of an instance
+    /// that names no pace takes more than 3 s to show.
+    double idle_time_cost = 0.2;
     /// While the own zone's utilization is below `room_until`, other zones are chosen as at low load; above `full_from`
     /// only their utilization decides. The slots that relays leave free keep utilizations of full instances below 1.
     double room_until = 0.8;
--- a/src/balancing/service_view.cc
+++ b/src/balancing/service_view.cc
@@ -25,24 +25,31 @@
     }
 }
 
-/// One is added to both counts, so that few requests in flight do not yield a high factor by chance.
-double ServiceView::trafficFactor() const {
-    return std::clamp((load_.mean() + 1) / (own_in_flight_.mean() + 1), 1.0, knobs_.max_traffic_factor);
+double ServiceView::recentMean(TimePoint now, const TimedMean& mean) const {
+    const double age = static_cast<double>((now - mean.lastAdded()).count());
+    return mean.mean() * std::clamp(1 - age / static_cast<double>(knobs_.zone_memory.count()), 0.0, 1.0);
 }
 
-double ServiceView::relativeTime(Duration service_time) const {
-    const double mean = service_time_.mean();
-    return mean > 0 ? toSeconds(service_time) / mean : 1;
+/// In the traffic factor, one is added to both counts, so that few requests in flight do not yield a high factor by
+/// chance.
+const ServiceValues& ServiceView::valuesAt(TimePoint now) {
+    values_.traffic_factor =
+        std::clamp((load_.mean() + 1) / (own_in_flight_.mean() + 1), 1.0, knobs_.max_traffic_factor);
+    values_.service_seconds = service_time_.mean();
+    values_.utilization = recentMean(now, utilization_);
+    values_.zone_utilization.clear();
+    for (const auto& zone : zone_utilization_) {
+        values_.zone_utilization.push_back(zone.isEmpty() ? values_.utilization : recentMean(now, zone));
+    }
+    return values_;
 }
 
-double ServiceView::recentMean(TimePoint now, const TimedMean& mean) const {
-    const double age = static_cast<double>((now - mean.lastAdded()).count());
-    return mean.mean() * std::clamp(1 - age / static_cast<double>(knobs_.zone_memory.count()), 0.0, 1.0);
+double ServiceValues::relativeTime(Duration service_time) const {
+    return service_seconds > 0 ? toSeconds(service_time) / service_seconds : 1;
 }
 
-double ServiceView::utilization(TimePoint now, std::size_t zone) const {
-    const bool is_known = zone < zone_utilization_.size() && !zone_utilization_[zone].isEmpty();
-    return recentMean(now, is_known ? zone_utilization_[zone] : utilization_);
+double ServiceValues::utilizationOf(std::size_t zone) const {
+    return zone < zone_utilization.size() ? zone_utilization[zone] : utilization;
 }
 
 }  // namespace dewcrank::balancing
--- a/src/balancing/service_view.h
+++ b/src/balancing/service_view.h
@@ -27,19 +27,28 @@
     std::optional<Duration> service_time;  ///< Present time of a request at the instance.
 };
 
+/// What a service looks like at one time, for the choice among its relays.
+struct ServiceValues {
+    /// Requests that all entries together send for each one that this entry sends; at least 1.
+    double traffic_factor = 1;
+    double service_seconds = 0;            ///< Mean service time; 0: not known.
+    double utilization = 0;                ///< Mean that relays have reported recently.
+    std::vector<double> zone_utilization;  ///< The same by zone.
+
+    /// @return the service time by the mean of the service; 1 if that is not known.
+    [[nodiscard]] double relativeTime(Duration service_time) const;
+    /// @return the utilization of a zone; of all relays if the zone has never been heard of.
+    [[nodiscard]] double utilizationOf(std::size_t zone) const;
+};
+
 /// Means over the relays of one service. Values for relays without a recent report are derived from it.
 class ServiceView {
 public:
     explicit ServiceView(ServiceViewKnobs knobs);
 
     void onReport(TimePoint now, const RelayReport& report);
-    /// @return how many requests all entries together send for each one that this entry sends; at least 1.
-    [[nodiscard]] double trafficFactor() const;
-    /// @return the service time by the mean of the service; 1 if that is not known.
-    [[nodiscard]] double relativeTime(Duration service_time) const;
-    /// @return the mean utilization that the relays of a zone have reported recently; of all relays if the zone has
-    /// never been heard of.
-    [[nodiscard]] double utilization(TimePoint now, std::size_t zone) const;
+    /// @return the values at this time; valid until the next call.
+    const ServiceValues& valuesAt(TimePoint now);
 
 private:
     [[nodiscard]] double recentMean(TimePoint now, const TimedMean& mean) const;
@@ -49,7 +58,8 @@
     TimedMean own_in_flight_;
     TimedMean service_time_;  ///< Seconds.
     TimedMean utilization_;
-    std::vector<TimedMean> zone_utilization_;  ///< By zone.
+    std::vector<TimedMean> zone_utilization_;  ///< By zone; empty for zones without a report.
+    ServiceValues values_;
 };
 
 }  // namespace dewcrank::balancing
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -62,8 +62,8 @@
     const double utilization = balancing::expectedUtilization(
         {static_cast<double>(stats.load.running) + stats.load.waiting,
          static_cast<double>(stats.in_flight - stats.in_flight_at_report), freshness,
-         std::min(1.0, toSeconds(age) / service_seconds), choice.view->utilization(choice.now, stats.zone) * slots,
-         choice.traffic_factor, slots});
+         std::min(1.0, toSeconds(age) / service_seconds), choice.service->utilizationOf(stats.zone) * slots,
+         choice.service->traffic_factor, slots});
     if (!balancer_.costKnobs().uses_pace) {
         return coldCost(candidate, utilization);
     }
@@ -71,7 +71,7 @@
         return utilization;
     }
     const double relative_time =
-        balancer_.relativeTime(*choice.view, stats.load.presentServiceTime(), age + stats.load.pace_age);
+        balancer_.relativeTime(*choice.service, stats.load.presentServiceTime(), age + stats.load.pace_age);
     return balancing::pacedCost(utilization, relative_time, balancer_.costKnobs());
 }
 
@@ -81,7 +81,7 @@
     if (!balancer_.costKnobs().uses_zones) {
         return knobs_.other_zone_cost * std::clamp(2 * (1 - cost), 0.0, 1.0);
     }
-    const double other = choice.view->utilization(choice.now, stats.zone);
+    const double other = choice.service->utilizationOf(stats.zone);
     return knobs_.other_zone_cost *
            balancing::zonePreference(choice.own_zone_utilization, other, balancer_.costKnobs());
 }
@@ -98,7 +98,7 @@
     const double in_flight = std::max(0.0, reported_load + sent_since);
     const bool is_limited = stats.load.rate_limit && age <= knobs_.rate_limit_memory;
     double cost = 0;
-    if (choice.view != nullptr && !is_limited) {
+    if (choice.service != nullptr && !is_limited) {
         cost = balancedCost(choice, candidate, stats, weight);
     } else {
         cost = is_limited ? limitedUtilization(stats.load, in_flight, sent_since, age) : in_flight / slots;
@@ -116,11 +116,10 @@
 
 RelaySelector::Choice RelaySelector::choiceFor(const std::string& service, TimePoint now) {
     if (!balancer_.isOn()) {
-        return {now, nullptr, 0, 1};
+        return {now, nullptr, 0};
     }
-    const auto& view = balancer_.view(service);
-    const auto own_zone = balancer_.zoneNumber(directory_.self().zone());
-    return {now, &view, view.utilization(now, own_zone), view.trafficFactor()};
+    const auto& values = balancer_.view(service).valuesAt(now);
+    return {now, &values, values.utilizationOf(balancer_.zoneNumber(directory_.self().zone()))};
 }
 
 RelayTarget RelaySelector::choose(const std::string& service, const std::set<std::string>& excluded) {
--- a/src/entry/relay_selector.h
+++ b/src/entry/relay_selector.h
@@ -102,9 +102,8 @@
     /// What is the same for all candidates of a choice.
     struct Choice {
         TimePoint now{};
-        const balancing::ServiceView* view = nullptr;  ///< Null if balancing by pace and by zone is off.
+        const balancing::ServiceValues* service = nullptr;  ///< Null if balancing by pace and by zone is off.
         double own_zone_utilization = 0;
-        double traffic_factor = 1;  ///< See ServiceView.
     };
     Choice choiceFor(const std::string& service, TimePoint now);
     double costOf(const Choice& choice, const Candidate& candidate);
