--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -42,6 +42,9 @@
     bool says_leaving = false;              ///< Responses say that the instance is leaving.
     std::size_t max_connections = 0;        ///< Further connections are refused; 0: any number.
     std::size_t max_connections_full = 0;   ///< The same while less than a tenth of its slots is free; 0: no less.
+    double speed = 1;                       ///< Divides `work_time`; no response names it.
+    double pace = 1;                        ///< Multiplies `work_time`; named as pace if responses name the load.
+    bool names_load = false;                ///< Responses name running requests, slots and pace.
     bool fails_with_internal_call = false;  ///< A run fails with status 500 as soon as one of its calls fails.
 };
 
--- a/src/relay/connection_control.cc
+++ b/src/relay/connection_control.cc
@@ -60,7 +60,7 @@
 void ConnectionControl::onConnectionFailed(instance::ConnectionFailure failure) {
     const auto now = clock_.now();
     failure.others = runs_() + (instances_.idleTime(address_) ? 1 : 0);
-    failure.usual_time = queue_.meanServiceTime();
+    failure.usual_time = queue_.load().presentServiceTime();
     instances_.closeIdleConnections(address_, kMaxUnverifiedTime);
     if (instance_.isReady()) {
         lowerLimit(failure.others);
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -210,7 +210,7 @@
     }
     const auto load = queue_.load();
     auto service_load =
-        demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.mean_service_time * load.waiting, reporting);
+        demand_.load(clock_.now(), {load.limit, load.rate_limit}, load.presentServiceTime() * load.waiting, reporting);
     retries_.addTo(&service_load);
     return service_load;
 }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -32,11 +32,15 @@
 }
 
 /// Passes the switches of the overload control on to the parts that they concern.
-Settings withFeatures(Settings settings) {
+Settings withOverloadSwitches(Settings settings) {
     auto& knobs = settings.knobs;
-    knobs.relay.retry_admission = knobs.overload.retry_admission;
-    knobs.bottlenecks.includes_retries = knobs.overload.retry_admission;
-    knobs.relay.rejects_too_late = knobs.overload.return_priority;
+    const auto& overload = knobs.overload;
+    knobs.selector.balancing.cost.uses_pace = overload.pace_balancing;
+    knobs.selector.balancing.cost.uses_zones = overload.zone_balancing;
+    knobs.relay.queue.uses_pace = overload.pace_balancing;
+    knobs.relay.retry_admission = overload.retry_admission;
+    knobs.relay.rejects_too_late = overload.return_priority;
+    knobs.bottlenecks.includes_retries = overload.retry_admission;
     return settings;
 }
 
@@ -53,7 +57,7 @@
 
 SidecarNode::SidecarNode(const Ports& ports, Settings settings)
     : ports_(ports),
-      settings_(withFeatures(std::move(settings))),
+      settings_(withOverloadSwitches(std::move(settings))),
       table_(settings_.incarnation),
       lease_(settings_.knobs.table_lease),
       directory_(ports.clock, initialRecord(settings_)),
