Take the admission of calls out of the node, and mend what a review of the parts found

A review by readers who did not write the parts found: probes at unknown instances though the service has ready ones (a rejection is delayed); lost attempts of ended calls counted against the running ones; an invalid response counted as proof that an instance is up; the metric and the load event hid a shortage of retries.

--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -103,7 +103,7 @@
     setGauge("dewcrank_returns_refused_again", "Client retries that admission refused, since the start.",
              static_cast<double>(returns.refused_again));
     setGauge("dewcrank_least_level", "Least level of a service that this node calls.",
-             node.tightestBottleneck().admit_ratio);
+             node.tightestBottleneck().lowestRatio());
     setGauge("dewcrank_flow_share_refused", "Requests refused for their flow's share of a bottleneck, since the start.",
              static_cast<double>(node.flowRejections()));
     setGauge("dewcrank_table_version", "Version of the table in force.", static_cast<double>(node.table().version()));
--- a/src/balancing/pace_estimate.h
+++ b/src/balancing/pace_estimate.h
@@ -21,7 +21,7 @@
 
 /// Pace of an instance at some time.
 struct Pace {
-    double pace = 1;        ///< Present service time by the usual one.
+    double pace = 1;        ///< Present service time divided by the usual one; above 1 it is slower than usual.
     Duration usual_time{};  ///< Usual service time.
     Duration age{};         ///< Time since the last response that it is based on.
 };
--- a/src/balancing/relay_cost.h
+++ b/src/balancing/relay_cost.h
@@ -38,7 +38,8 @@
 /// @return the expected number of requests that run or wait at the relay, per slot.
 [[nodiscard]] double expectedUtilization(const RelayEstimate& estimate);
 
-/// @param relative_time service time by the mean of the service. @param freshness of that value, from 0 to 1.
+/// @param relative_time service time of the instance divided by the mean of the service. @param freshness of that
+/// value, from 0 to 1.
 /// @return the factor for `pacedCost`: bounded, and 1 without a value.
 [[nodiscard]] double boundedRelativeTime(double relative_time, double freshness, const RelayCostKnobs& knobs);
 
--- a/src/balancing/service_view.h
+++ b/src/balancing/service_view.h
@@ -35,7 +35,7 @@
     double utilization = 0;                ///< Mean that relays have reported recently.
     std::vector<double> zone_utilization;  ///< The same by zone.
 
-    /// @return the service time by the mean of the service; 1 if that is not known.
+    /// @return the service time divided by the mean of the service; 1 if that is not known.
     [[nodiscard]] double relativeTime(Duration service_time) const;
     /// @return the utilization of a zone; of all relays if the zone has never been heard of.
     [[nodiscard]] double utilizationOf(std::size_t zone) const;
--- a/src/entry/relay_selector.cc
+++ b/src/entry/relay_selector.cc
@@ -160,10 +160,12 @@
         return targetAt(*best, false);
     }
     auto stopping = chooseStopping(service, excluded);
-    return stopping.node.empty() ? chooseProbe(service, excluded) : stopping;
+    const bool has_alternative = !stopping.node.empty() || relayCount(service) > 0;
+    return has_alternative ? stopping : chooseProbe(service, excluded);
 }
 
-/// Different calls choose different relays, so that the first instance that is up again is found soon.
+/// Only for a service without any ready relay. Different calls choose different relays, so that the first instance that
+/// is up again is found soon.
 RelayTarget RelaySelector::chooseProbe(const std::string& service, const std::set<std::string>& excluded) const {
     std::vector<const wire::NodeRecord*> candidates;
     const auto consider = [&](const wire::NodeRecord& record) {
--- a/src/instance/reachability.cc
+++ b/src/instance/reachability.cc
@@ -10,7 +10,8 @@
 
 /// A host without power is detected by the first connection that times out.
 constexpr Duration kMinSilence = kConnectTimeout;
-/// An instance whose runs take long is silent for about as long as one run when all of them began together.
+/// Service times vary: an instance with running requests counts as down only after this many mean service times without
+/// a response.
 constexpr std::int64_t kSilentRuns = 3;
 constexpr Duration kMaxSilence = 1s;
 
--- a/src/quota/fleet_rates.h
+++ b/src/quota/fleet_rates.h
@@ -20,9 +20,8 @@
 public:
     /// An owner has reported the rate of the tokens requested from its shard; 0: unknown.
     void onReport(TimePoint now, std::uint32_t shard, const std::string& tenant, double per_s);
-    /// @param has_owner true if a shard has an owner that this node knows; requests for the tokens of other shards go
-    /// to
-    ///                  those that have one.
+    /// @param has_owner true if this node knows an owner of the shard. Tokens of other shards are requested from shards
+    /// that have one.
     /// @return the sum over the tenant's shards with an owner. Shards without a recent report count as the mean of the
     /// others. Nothing without any recent report. At most the tenant's limit, beyond which its requests do not run.
     [[nodiscard]] std::optional<FleetRate> rateOf(TimePoint now, const wire::Tenant& tenant,
--- a/src/relay/connection_control.cc
+++ b/src/relay/connection_control.cc
@@ -32,7 +32,7 @@
     applyLimit();
 }
 
-/// An idle connection may be silent, or occupy one of the few that the instance accepts.
+/// Closes idle connections: they may be silent, and each occupies one of those that the instance accepts.
 void ConnectionControl::onUnknown() {
     was_unknown_ = true;
     forgetFailures();
@@ -55,8 +55,9 @@
     }
 }
 
-/// A crash closes idle connections as well, so that one which is still open shows that the instance may be up. Those
-/// that have been idle for long are closed, since a request that must not run twice does not use them.
+/// An idle connection counts as a running request, since a crash would have closed it. Connections that were idle for
+/// longer than kMaxUnverifiedTime are closed: calls that must not run twice do not use them, yet they count towards the
+/// connections that the instance accepts.
 void ConnectionControl::onConnectionFailed(instance::ConnectionFailure failure) {
     const auto now = clock_.now();
     failure.others = runs_() + (instances_.idleTime(address_) ? 1 : 0);
--- a/src/relay/instance_queue.h
+++ b/src/relay/instance_queue.h
@@ -38,7 +38,7 @@
     Duration mean_service_time{};        ///< Mean time that a request holds a slot; the usual one if `pace` is known.
     std::optional<double> rate_limit{};  ///< Requests per second that the instance takes; none: no limit.
     Duration rate_wait{};                ///< Time until the rate limit lets a further request through.
-    double pace = 0;                     ///< Present service time by the usual one; 0: not known.
+    double pace = 0;                     ///< Present service time divided by the usual one; 0: not known.
     Duration pace_age{};                 ///< Time since the response on which the pace is based.
 
     /// @return the time for which a request holds a slot at the present pace.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -317,7 +317,8 @@
     }
 }
 
-/// Requests that an instance would have run before it was down are demand for the other instances.
+/// Applies a changed state. When it becomes unknown, the demand measured so far is dropped, as other instances receive
+/// these requests from then on.
 void RelayService::onInstanceChanged() {
     const auto& record = instance_.record();
     const auto incarnation = instance::incarnationName(record);
@@ -386,7 +387,6 @@
 /// Converts the result of an attempt. Logs `instance_failed` if the instance sent no response.
 RelayResult RelayService::resultOf(const Call& call, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kResponded) {
-        onInstanceResponded(call, result.response);
         return resultOfResponse(call, std::move(result.response));
     }
     RelayResult relayed;
@@ -413,7 +413,9 @@
 RelayResult RelayService::resultOfResponse(const Call& call, HttpResponse response) {
     RelayResult relayed;
     relayed.was_sent = true;
-    switch (classifyResponse(response, call.request_id, names_, knobs_.disabled.response_signature_check)) {
+    const auto kind = classifyResponse(response, call.request_id, names_, knobs_.disabled.response_signature_check);
+    onInstanceResponded(call, kind);
+    switch (kind) {
         case ResponseKind::kMisdirected:
             instance_.onMisdirected(call.request.instance);
             [[fallthrough]];
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -33,6 +33,7 @@
 #include "src/relay/internal_route_detector.h"
 #include "src/relay/relay_message.h"
 #include "src/relay/relay_retries.h"
+#include "src/relay/response_kind.h"
 #include "src/relay/signal_handler.h"
 #include "src/relay/suspect_trials.h"
 
@@ -178,7 +179,7 @@
     void onCrashDecided(bool has_crashed);
     void onCrash(const std::string& incarnation);
     void failRunsOf(const std::string& incarnation);
-    void onInstanceResponded(const Call& call, const HttpResponse& response);
+    void onInstanceResponded(const Call& call, ResponseKind kind);
     RelayResult resultOf(const Call& call, AttemptResult result);
     RelayResult resultOfResponse(const Call& call, HttpResponse response);
     void onRunEnded(const Call& call, bool is_complete);
--- a/src/relay/relay_service_connections.cc
+++ b/src/relay/relay_service_connections.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/base/http_status.h"
 #include "src/relay/relay_service.h"
 
 namespace dewcrank::relay {
@@ -83,15 +82,17 @@
 }
 
 std::size_t RelayService::runCount() const {
-    const auto attempts = static_cast<std::size_t>(
-        std::count_if(calls_.begin(), calls_.end(), [](const auto& it) { return it.second->attempt != nullptr; }));
-    return attempts - std::min(attempts, lost_attempts_.size());
+    const auto attempts =
+        std::count_if(calls_.begin(), calls_.end(), [](const auto& it) { return it.second->attempt != nullptr; });
+    const auto lost = std::count_if(lost_attempts_.begin(), lost_attempts_.end(),
+                                    [this](const auto& it) { return calls_.contains(it.id); });
+    return static_cast<std::size_t>(attempts - lost);
 }
 
-/// Another instance or an earlier incarnation says nothing about the state of the current one.
-void RelayService::onInstanceResponded(const Call& call, const HttpResponse& response) {
+/// Only a valid response of the current incarnation shows that it is up.
+void RelayService::onInstanceResponded(const Call& call, ResponseKind kind) {
     const bool is_current = call.incarnation == instance::incarnationName(instance_.record());
-    if (!is_current || response.status == kHttpMisdirected) {
+    if (!is_current || kind == ResponseKind::kMisdirected || kind == ResponseKind::kInvalid) {
         instance_.onResponse();
         return;
     }
--- a/src/sidecar/load_logger.cc
+++ b/src/sidecar/load_logger.cc
@@ -28,7 +28,7 @@
     const auto load = relay_.load();
     const auto service_load = relay_.serviceLoad();
     const auto tightest = bottlenecks_.worstBottleneck(clock_.now());
-    if (service_load.demand < kMinLoggedUtilization * service_load.capacity && tightest.admit_ratio >= 1) {
+    if (service_load.demand < kMinLoggedUtilization * service_load.capacity && tightest.lowestRatio() >= 1) {
         return;
     }
     log_.write(Event("load")
@@ -39,7 +39,7 @@
                    .with("demand", service_load.demand)
                    .with("busy", service_load.busy)
                    .with("level", service_load.admitRatio())
-                   .with("least_level", tightest.admit_ratio)
+                   .with("least_level", tightest.lowestRatio())
                    .with("bottleneck", tightest.service));
 }
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -9,9 +9,6 @@
 #include "src/base/header_names.h"
 #include "src/base/overload_features.h"
 #include "src/base/time.h"
-#include "src/decision/admission.h"
-#include "src/decision/retry_admission.h"
-#include "src/decision/returns.h"
 #include "src/entry/access_check.h"
 #include "src/entry/entry_call.h"
 #include "src/fleet/failure_detector.h"
@@ -22,6 +19,7 @@
 #include "src/quota/quota_client.h"
 #include "src/quota/shard_lease_manager.h"
 #include "src/relay/relay_service.h"
+#include "src/sidecar/call_admission.h"
 #include "src/sidecar/peer_discovery.h"
 #include "src/sidecar/table_refresher.h"
 #include "src/sidecar/table_watcher.h"
@@ -34,10 +32,8 @@
     fleet::FailureDetectorKnobs failure_detector;
     entry::SelectorKnobs selector;
     entry::EntryKnobs entry;
-    decision::AdmissionKnobs admission;
-    decision::RetryAdmissionKnobs retry_admission;
+    CallAdmissionKnobs admission;
     decision::BottleneckKnobs bottlenecks;
-    decision::ReturnKnobs returns;
     relay::RelayKnobs relay;
     quarantine::QuarantineKnobs quarantine;
     quarantine::ExchangeKnobs quarantine_exchange;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kStopCheckInterval = 50ms;
-/// Bounds the demand weight of a request, which is the inverse of the admission ratio.
-constexpr double kMinAdmitRatio = 0.02;
 /// Reason of a call that no instance could take.
 constexpr std::string_view kNoInstanceReason = "no-instance";
 
@@ -73,29 +71,29 @@
           settings_.knobs.relay),
       bottlenecks_(settings_.knobs.bottlenecks),
       selector_(ports.clock, ports.random, directory_, settings_.knobs.selector),
-      admission_(ports.random, settings_.knobs.admission, settings_.knobs.overload),
-      retry_admission_(ports.random, settings_.knobs.retry_admission),
-      flow_share_log_(ports.clock, ports.log),
-      returns_(ports.random, settings_.knobs.returns),
-      entry_services_{ports.clock,
-                      ports.random,
-                      ports.log,
-                      ReconnectingSender(ports.clock, ports.nodes),
-                      selector_,
-                      relay_,
-                      directory_,
-                      gossip_,
-                      failure_detector_,
-                      table_,
-                      lease_,
-                      settings_.header_names,
-                      settings_.knobs.entry,
-                      [this](const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result) {
-                          onRelayResult(plan, relay, result);
-                      },
-                      [this](const entry::EntryPlan& plan) { return isOverloaded(plan); },
-                      [this](const entry::EntryPlan& plan, Duration elapsed) { return reserveReturn(plan, elapsed); },
-                      settings_.knobs.disabled},
+      admission_({ports.clock, ports.random, ports.log, bottlenecks_, relay_.callGraph(),
+                  [this](const std::string& tenant) { return fleetRateOf(tenant); }},
+                 settings_.knobs.admission, settings_.knobs.overload),
+      entry_services_{
+          ports.clock,
+          ports.random,
+          ports.log,
+          ReconnectingSender(ports.clock, ports.nodes),
+          selector_,
+          relay_,
+          directory_,
+          gossip_,
+          failure_detector_,
+          table_,
+          lease_,
+          settings_.header_names,
+          settings_.knobs.entry,
+          [this](const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result) {
+              onRelayResult(plan, relay, result);
+          },
+          [this](const entry::EntryPlan& plan) { return admission_.isOverloaded(plan); },
+          [this](const entry::EntryPlan& plan, Duration elapsed) { return admission_.reserveReturn(plan, elapsed); },
+          settings_.knobs.disabled},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_, settings_),
       shard_lease_manager_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
       quota_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, shard_lease_manager_,
@@ -108,8 +106,6 @@
     relay_.setReplicaView([this] { return fleet::replicasOf(directory_, settings_.service); });
     quarantine_exchange_.signalInstanceCrashed().connect([this] { relay_.onRemoteCrash(); });
     table_.signalAdopted().connect([this] { setProbePath(); });
-    admission_.signalFlowRejected().connect(
-        [this](const decision::FlowRejection& rejection) { flow_share_log_.onRejected(rejection); });
     failure_detector_.signalUnresponsive().connect([this](const std::string& name) { onNodeUnresponsive(name); });
     directory_.signalChanged().connect(
         [this](const std::string&) { relay_.setRelayCount(selector_.relayCount(settings_.service)); });
@@ -224,7 +220,7 @@
 void SidecarNode::beginCall(CallId call_id, HttpRequest request, const entry::Admitted& admitted,
                             const ReplyCallback& reply) {
     auto entry_plan = makePlan(std::move(request), admitted);
-    const bool is_admitted = admit(&entry_plan);
+    const bool is_admitted = admission_.admit(&entry_plan);
     if (admitted.token) {
         spent_tokens_[call_id] = {admitted.tenant->name(), *admitted.token};
     }
@@ -279,77 +275,18 @@
     return other == route.parts().end() ? service : other->service();
 }
 
-/// Always admits internal calls, since a rejection would waste the work already done for their callers.
-bool SidecarNode::admit(entry::EntryPlan* plan) {
-    const auto now = ports_.clock.now();
-    const auto& route = plan->route->name();
-    const bool is_client_retry = deadlines_.isShortened(now, route, plan->caller_timeout);
-    if (bottlenecks_.isInternal(route)) {
-        plan->call_context = relay_.callGraph().onCall(now, route, plan->caller_timeout);
-        chooseRetries(plan);
-        return true;
-    }
-    auto bottleneck = bottlenecks_.bottleneckOf(now, route);
-    double probability = 1;
-    if (settings_.knobs.overload.retry_admission) {
-        const auto decision = retry_admission_.decide(now, bottleneck, {plan->rank, is_client_retry});
-        if (!decision.is_admitted) {
-            return false;
-        }
-        probability = decision.probability;
-        plan->call_context.no_retry_share = decision.no_retry_share;
-        bottleneck.admit_ratio = std::min(1.0, bottleneck.admit_ratio / std::max(kMinAdmitRatio, decision.kept_share));
-        chooseRetries(plan);
-    }
-    plan->call_context.demand_weight = 1 / std::max(kMinAdmitRatio, probability * bottleneck.admit_ratio);
-    decision::AdmissionRequest request{plan->rank, is_client_retry};
-    request.flow = plan->tenant.empty() ? "route/" + route : "tenant/" + plan->tenant;
-    request.fleet_rate = fleetRateOf(plan->tenant);
-    if (!settings_.knobs.overload.return_priority || bottleneck.service.empty()) {
-        return admission_.admits(now, bottleneck, request);
-    }
-    plan->since_first = is_client_retry ? deadlines_.usual(route) - plan->caller_timeout : Duration::zero();
-    const auto [is_admitted, may_reserve] =
-        decision::admitReturn(now, bottleneck, request, plan->since_first, &admission_, &returns_);
-    plan->may_reserve_return = may_reserve;
-    return is_admitted;
-}
-
 /// @return nothing for a tenant whose row is no longer in the table.
 std::optional<FleetRate> SidecarNode::fleetRateOf(const std::string& tenant) const {
-    const auto* row = settings_.knobs.overload.fair_shares ? table_.tenantNamed(tenant) : nullptr;
+    const auto* row = table_.tenantNamed(tenant);
     return row == nullptr ? std::nullopt : quota_.fleetRate(*row);
 }
 
-/// Decides whether the call may be retried, by the share of retries that admission has granted to its request.
-void SidecarNode::chooseRetries(entry::EntryPlan* plan) {
-    const double share = plan->call_context.no_retry_share;
-    plan->may_retry = share <= 0 || ports_.random.unit() >= share;
-}
-
-/// The bottleneck is the current one: at the end of a long wait in a queue it may be another than at admission.
-std::optional<Duration> SidecarNode::reserveReturn(const entry::EntryPlan& plan, Duration elapsed) {
-    const auto now = ports_.clock.now();
-    const auto bottleneck = bottlenecks_.bottleneckOf(now, plan.route->name());
-    if (bottleneck.service.empty()) {
-        return std::nullopt;
-    }
-    return returns_.reserve(now, bottleneck.service, {plan.rank, plan.since_first + elapsed, plan.deadline - now});
-}
-
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
 double SidecarNode::hostShare(const std::string& service) const {
     const auto hosts = directory_.othersWithService(service).size() + (settings_.service == service ? 1 : 0);
     return static_cast<double>(hosts) / static_cast<double>(directory_.otherInstanceCount() + 1);
 }
 
-bool SidecarNode::isOverloaded(const entry::EntryPlan& plan) const {
-    const auto bottleneck = bottlenecks_.bottleneckOf(ports_.clock.now(), plan.route->name());
-    // Where retries are scarce, admission has kept some of them for the requests that it admitted.
-    return bottleneck.scarce == decision::Resource::kRetries ? !plan.may_retry
-                                                             : bottleneck.admit_ratio < decision::kMinNormalAdmitRatio;
-}
-
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, const std::string& relay,
                                 const relay::RelayResult& result) {
     auto report = result.report;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -10,11 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "src/decision/admission.h"
 #include "src/decision/bottleneck_view.h"
-#include "src/decision/retry_admission.h"
-#include "src/decision/return_admission.h"
-#include "src/decision/usual_deadlines.h"
 #include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
@@ -29,7 +25,7 @@
 #include "src/ports/http_transport.h"
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
-#include "src/sidecar/flow_share_log.h"
+#include "src/sidecar/call_admission.h"
 #include "src/sidecar/load_logger.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
@@ -117,7 +113,7 @@
     [[nodiscard]] const quarantine::Quarantine& quarantine() const { return quarantine_; }
     [[nodiscard]] const quota::QuotaClient& quota() const { return quota_; }
     /// @return the requests rejected for their flow's share of a bottleneck, since the start.
-    [[nodiscard]] std::uint64_t flowRejections() const { return flow_share_log_.rejectedCount(); }
+    [[nodiscard]] std::uint64_t flowRejections() const { return admission_.flowRejections(); }
     /// @return the number of quota shards whose tokens this node grants.
     [[nodiscard]] std::size_t quotaShards() const { return shard_lease_manager_.grantingCount(); }
     /// @return the number of incarnations of local instances that are on record.
@@ -127,8 +123,9 @@
     [[nodiscard]] std::uint64_t storeEra() const { return gossip_.storeEra(); }
     /// @return time since the table was last confirmed as the newest; nothing if it never was.
     [[nodiscard]] std::optional<Duration> tableAge() const { return lease_.age(ports_.clock.now()); }
+    /// @return counts of the callers that were told to return, and of their client retries, since the start.
+    [[nodiscard]] const decision::ReturnTotals& returnTotals() const { return admission_.returnTotals(); }
     /// @return the retries of the local instance's service in the current window of the retry limit.
-    [[nodiscard]] const decision::ReturnTotals& returnTotals() const { return returns_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return relay_.retryWindow(); }
 
 private:
@@ -140,13 +137,9 @@
     std::string selectService(const wire::Route& route);
     CallId relayCall(relay::RelayRequest request, const ReplyCallback& reply);
     [[nodiscard]] double hostShare(const std::string& service) const;
-    [[nodiscard]] bool isOverloaded(const entry::EntryPlan& plan) const;
     void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
-    bool admit(entry::EntryPlan* plan);
-    void chooseRetries(entry::EntryPlan* plan);
     void countWasted(const std::string& route, const relay::RelayResult& result, const std::string& bottleneck);
     [[nodiscard]] std::optional<FleetRate> fleetRateOf(const std::string& tenant) const;
-    std::optional<Duration> reserveReturn(const entry::EntryPlan& plan, Duration elapsed);
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
     void publishSelf();
@@ -170,17 +163,13 @@
     relay::RelayService relay_;
     decision::BottleneckView bottlenecks_;
     entry::RelaySelector selector_;
-    decision::Admission admission_;
-    decision::RetryAdmission retry_admission_;
-    FlowShareLog flow_share_log_;
-    decision::Returns returns_;
+    CallAdmission admission_;
     entry::EntryServices entry_services_;
     StoreSession store_session_;
     quota::ShardLeaseManager shard_lease_manager_;
     quota::QuotaClient quota_;
     entry::CallIntake intake_;
     LoadLogger load_logger_;
-    decision::UsualDeadlines deadlines_;
     std::map<std::string, policy::WeightedSplitter> traffic_splitters_;  ///< By route name.
     CallId last_call_id_ = 0;
     std::map<CallId, std::unique_ptr<entry::EntryCall>> calls_;
