Leave the limit of an instance alone when a connection is reset after the request

Cause: a new connection that was reset within 50 ms of the request counted as refused and lowered the limit of the relay. Instances that run requests and lose their responses look the same: with 2 of 15 instances doing so for 4 s, entries rejected 1,945 requests for the bottleneck instead of 118. Ruled out: the ratio of calls that find no instance (none did in that time). Change: such a reset says nothing about the limit.

--- a/src/relay/connection_control.cc
+++ b/src/relay/connection_control.cc
@@ -69,12 +69,6 @@
     applyVerdict(reachability_.onConnectionFailed(now, instance_.lastContact(), failure));
 }
 
-void ConnectionControl::onConnectionReset() {
-    if (instance_.isReady()) {
-        lowerLimit(runs_());
-    }
-}
-
 /// @param open connections in use.
 void ConnectionControl::lowerLimit(std::size_t open) {
     logRefused(open);
--- a/src/relay/connection_control.h
+++ b/src/relay/connection_control.h
@@ -40,8 +40,6 @@
     /// A connection could not be opened. May set the state of the instance to unknown.
     /// @param failure without `others` and `usual_time`.
     void onConnectionFailed(instance::ConnectionFailure failure);
-    /// A connection was reset as soon as it was open, by an instance that is up.
-    void onConnectionReset();
 
 private:
     void forgetFailures();
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -276,8 +276,7 @@
     if (isConnectionLost(result) && incarnation != crashed_incarnation_ &&
         incarnation == instance::incarnationName(instance_.record())) {
         suspected_incarnation_ = incarnation;
-        const bool was_reset_at_once = wasResetAtOnce(*calls_[id], result);
-        lost_attempts_.push_back({id, std::move(result), was_reset_at_once});
+        lost_attempts_.push_back({id, std::move(result)});
         crash_detector_.onConnectionLost(runs_.runningAt(incarnation));
         return;
     }
@@ -309,9 +308,6 @@
         if (const auto found = calls_.find(it.id); found != calls_.end()) {
             runs_.onConnectionLost(it.id);
             found->second->attempt.reset();
-            if (it.was_reset_at_once && !has_crashed) {
-                connections_.onConnectionReset();
-            }
             finish(it.id, resultOf(*found->second, std::move(it.result)));
         }
     }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -165,13 +165,11 @@
     void onConnectionFailed(CallId id, AttemptResult result);
     void returnToQueue(CallId id, HttpRequest request);
     void rejectUnconnected();
-    [[nodiscard]] bool wasResetAtOnce(const Call& call, const AttemptResult& result) const;
     [[nodiscard]] std::size_t runCount() const;
     /// An attempt whose connection was lost; its result waits for the decision of the crash detector.
     struct LostAttempt {
         CallId id = 0;
         AttemptResult result;
-        bool was_reset_at_once = false;  ///< As by an instance that accepts no further connection.
     };
     void readSignals(Call* call, const HttpResponse& response);
     void onInstanceChanged();
--- a/src/relay/relay_service_connections.cc
+++ b/src/relay/relay_service_connections.cc
@@ -11,8 +11,6 @@
 
 /// A call whose connections have failed this often is rejected, so that its entry tries another relay.
 constexpr int kMaxConnectionFailures = 4;
-/// An instance resets a connection beyond its limit as soon as it accepts it, often after the request was written.
-constexpr Duration kMaxResetTime = 50ms;
 
 }  // namespace
 
@@ -66,11 +64,6 @@
                                [this, id](InstanceQueue::Decision decision) { onQueueDecision(id, decision); });
 }
 
-bool RelayService::wasResetAtOnce(const Call& call, const AttemptResult& result) const {
-    return result.reason == kConnectionReset && !result.used_idle_connection &&
-           clock_.now() - call.sent_at <= kMaxResetTime;
-}
-
 /// Rejects the calls that wait because their connections failed: the instance has turned out to be down.
 void RelayService::rejectUnconnected() {
     for (const auto& [id, call] : calls_) {
