--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -33,6 +33,23 @@
     }
 }
 
+/// A rank keeps its minimum share of all that it requests, and its returns come first in it: only what they leave is
+/// kept for its first attempts.
+/// @return the most slot time that is rejected from an order.
+double Admission::maxRejected(const Arrivals& arrivals, double min_share, std::uint32_t order) {
+    const auto slotTimeOf = [&](std::uint32_t other) {
+        const auto found = arrivals.slot_time.find(other);
+        return found == arrivals.slot_time.end() ? 0.0 : found->second;
+    };
+    const double own = slotTimeOf(order);
+    if (order >= kClientRetryOrder) {
+        return own;
+    }
+    const bool is_returns = order % kOrdersPerRank == 0;
+    const double kept = min_share * (own + slotTimeOf(is_returns ? order + 1 : order - 1));
+    return is_returns ? own - std::min(own, kept) : own - std::clamp(kept - slotTimeOf(order - 1), 0.0, own);
+}
+
 /// @return the share of the requests of an order to admit. Slot time is rejected from the least urgent rank upwards,
 /// from each order down to its minimum share.
 double Admission::admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t order) const {
@@ -49,8 +66,7 @@
     const double even_share = std::min(1 - non_retry_ratio, kEvenAdmitRatio + 1 - 2 * non_retry_ratio);
     const double min_share = non_retry_ratio * std::max(knobs_.min_share, even_share);
     for (auto it = arrivals.slot_time.rbegin(); it != arrivals.slot_time.rend(); ++it) {
-        const double min_kept = it->first >= kClientRetryOrder ? 0.0 : min_share;
-        const double rejected = std::min(to_reject, (1 - min_kept) * it->second);
+        const double rejected = std::min(to_reject, maxRejected(arrivals, min_share, it->first));
         if (it->first == order) {
             return it->second > 0 ? 1 - rejected / it->second : 1;
         }
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -45,6 +45,7 @@
     /// @return the order of rejection: requests with the highest one are rejected first.
     static std::uint32_t orderOf(const AdmissionRequest& request);
     static void decay(TimePoint now, Arrivals* arrivals);
+    [[nodiscard]] static double maxRejected(const Arrivals& arrivals, double min_share, std::uint32_t order);
     [[nodiscard]] double admitProbability(const Arrivals& arrivals, double admit_ratio, std::uint32_t order) const;
 
     RandomSource& random_;
--- a/src/decision/return_admission.cc
+++ b/src/decision/return_admission.cc
@@ -11,7 +11,7 @@
     request.is_reserved_return = kind == ReturnKind::kKept;
     request.is_client_retry = request.is_client_retry && !request.is_reserved_return;
     const bool is_admitted = admission->admits(now, bottleneck, request);
-    returns->onDecision(now, bottleneck, kind, is_admitted);
+    returns->onDecision(now, bottleneck, request.rank, kind, is_admitted);
     return {is_admitted, !request.is_client_retry};
 }
 
--- a/src/decision/returns.cc
+++ b/src/decision/returns.cc
@@ -34,7 +34,10 @@
 
 void Returns::decay(TimePoint now, Service* service) const {
     const double elapsed = toSeconds(now - service->decayed_at) / toSeconds(knobs_.admitted_average_time);
-    service->admitted *= std::exp(-elapsed);
+    const double factor = std::exp(-elapsed);
+    for (auto& admitted : service->admitted) {
+        admitted *= factor;
+    }
     service->decayed_at = now;
 }
 
@@ -70,33 +73,35 @@
     return is_at_once ? ReturnKind::kAtOnce : ReturnKind::kUnreserved;
 }
 
-void Returns::onDecision(TimePoint now, const Bottleneck& bottleneck, ReturnKind kind, bool is_admitted) {
+void Returns::onDecision(TimePoint now, const Bottleneck& bottleneck, std::uint32_t rank, ReturnKind kind,
+                         bool is_admitted) {
     auto& service = serviceAt(now, bottleneck.service);
     service.trend.onRatio(now, bottleneck.admit_ratio);
     decay(now, &service);
-    service.admitted += is_admitted ? 1 : 0;
+    service.admitted[rank % service.admitted.size()] += is_admitted ? 1 : 0;
     totals_.refused_again += kind != ReturnKind::kFirstAttempt && !is_admitted ? 1 : 0;
 }
 
 /// At a node that admits few requests, a share of them is less than one in most tenths.
-std::uint32_t Returns::capacityOf(const Service& service, const Tenth& tenth) const {
-    const double per_tenth = service.admitted * toSeconds(kTenth) / toSeconds(knobs_.admitted_average_time);
-    return static_cast<std::uint32_t>(per_tenth * knobs_.reserved_share + tenth.threshold);
+bool Returns::isFree(const Service& service, const Tenth& tenth, std::uint32_t rank) const {
+    const auto index = rank % service.admitted.size();
+    const double per_tenth = service.admitted[index] * toSeconds(kTenth) / toSeconds(knobs_.admitted_average_time);
+    return tenth.reserved[index] < static_cast<std::uint32_t>(per_tenth * knobs_.reserved_share + tenth.threshold);
 }
 
 /// @return the first tenth from `begin` until before `end` with free capacity; null if there is none.
-Returns::Tenth* Returns::findFree(Service* service, std::int64_t begin, std::int64_t end) {
+Returns::Tenth* Returns::findFree(Service* service, std::uint32_t rank, std::int64_t begin, std::int64_t end) {
     for (auto number = begin; number < end; ++number) {
         auto& tenth = tenthAt(service, number);
-        if (tenth.reserved < capacityOf(*service, tenth)) {
+        if (isFree(*service, tenth, rank)) {
             return &tenth;
         }
     }
     return nullptr;
 }
 
-std::optional<Duration> Returns::reserve(TimePoint now, const std::string& service, const CallerTimes& times) {
-    const auto usable = fromSeconds(toSeconds(times.remaining - knobs_.response_time) * knobs_.max_wait_share);
+std::optional<Duration> Returns::reserve(TimePoint now, const std::string& service, const RejectedCaller& caller) {
+    const auto usable = fromSeconds(toSeconds(caller.remaining - knobs_.response_time) * knobs_.max_wait_share);
     const auto longest = std::min(usable, knobs_.max_wait);
     if (longest < knobs_.min_wait) {
         return std::nullopt;
@@ -104,9 +109,9 @@
     auto& it = serviceAt(now, service);
     decay(now, &it);
     const auto expected_end = now + std::clamp(it.trend.expectedRest(now), knobs_.min_wait, longest);
-    auto* tenth = findFree(&it, numberOf(expected_end), numberOf(now + longest) + 1);
+    auto* tenth = findFree(&it, caller.rank, numberOf(expected_end), numberOf(now + longest) + 1);
     if (tenth == nullptr) {
-        tenth = findFree(&it, numberOf(now + knobs_.min_wait), numberOf(expected_end));
+        tenth = findFree(&it, caller.rank, numberOf(now + knobs_.min_wait), numberOf(expected_end));
     }
     if (tenth == nullptr) {
         return std::nullopt;
@@ -114,15 +119,15 @@
     const auto begin = std::max(now + knobs_.min_wait, startOf(tenth->number));
     const auto end = std::min(now + longest, startOf(tenth->number + 1) - 1us);
     const auto wait = begin - now + fromSeconds(random_.unit() * toSeconds(end - begin));
-    addReservation(tenth, times.since_first + wait);
+    addReservation(tenth, caller.rank, caller.since_first + wait);
     return wait;
 }
 
-void Returns::addReservation(Tenth* tenth, Duration since_first) {
-    const bool is_first = tenth->reserved == 0;
-    tenth->min_since_first = is_first ? since_first : std::min(tenth->min_since_first, since_first);
+void Returns::addReservation(Tenth* tenth, std::uint32_t rank, Duration since_first) {
+    tenth->min_since_first = tenth->is_used ? std::min(tenth->min_since_first, since_first) : since_first;
     tenth->max_since_first = std::max(tenth->max_since_first, since_first);
-    ++tenth->reserved;
+    tenth->is_used = true;
+    ++tenth->reserved[rank % tenth->reserved.size()];
     ++tenth->open;
     ++totals_.reserved;
 }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -293,7 +293,7 @@
     if (bottleneck.service.empty()) {
         return std::nullopt;
     }
-    return returns_.reserve(now, bottleneck.service, {plan.since_first + elapsed, plan.deadline - now});
+    return returns_.reserve(now, bottleneck.service, {plan.rank, plan.since_first + elapsed, plan.deadline - now});
 }
 
 /// Share of all nodes with an instance that host `service`. This node counts even before its first heartbeat.
