--- a/review/build.sh
+++ b/review/build.sh
@@ -5,12 +5,12 @@
 cd "$(dirname "$0")/.."
 mkdir -p build/review
 flags=(-std=c++20 -O2 -Wall -Wextra -I. -pthread)
-for unit in http deployment; do
+for unit in http deployment planned_stop; do
     g++ "${flags[@]}" -c "review/standins/$unit.cc" -o "build/review/$unit.o" &
 done
 wait
 for driver in review/*/case.cc; do
     number=$(basename "$(dirname "$driver")")
-    g++ "${flags[@]}" "$driver" build/review/http.o build/review/deployment.o -o "build/review/case-$number" &
+    g++ "${flags[@]}" "$driver" build/review/{http,deployment,planned_stop}.o -o "build/review/case-$number" &
 done
 wait
--- a/review/standins/http.cc
+++ b/review/standins/http.cc
@@ -205,12 +205,14 @@
     }
     buffer_.erase(0, head_end + 4);
     const auto length = static_cast<std::size_t>(std::atoll(message->header("Content-Length").c_str()));
+    const auto began = Clock::now();
     while (buffer_.size() < length) {
         if (received_bytes != nullptr) {
             *received_bytes = buffer_.size();
         }
-        if (pace.pause > Milliseconds::zero()) {
-            std::this_thread::sleep_for(pace.pause);
+        if (pace.bytes_per_second > 0) {
+            const std::chrono::duration<double> due(static_cast<double>(buffer_.size()) / pace.bytes_per_second);
+            std::this_thread::sleep_until(began + std::chrono::duration_cast<Clock::duration>(due));
         }
         if (const auto count = receive(std::min(pace.chunk_bytes, length - buffer_.size()), deadline); count <= 0) {
             return endOf(count);
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -56,8 +56,8 @@
 
 /// Pace at which a connection reads a body; the default does not limit it.
 struct ReadPace {
-    std::size_t chunk_bytes = 64 * 1024;
-    Milliseconds pause{0};
+    double bytes_per_second = 0;  ///< 0: no limit.
+    std::size_t chunk_bytes = std::size_t{64} * 1024;
 };
 
 /// One TCP connection; closed when destroyed.
