--- a/review/standins/planned_stop.h
+++ b/review/standins/planned_stop.h
@@ -10,14 +10,11 @@
 
 namespace review {
 
-/// What differs between the cases.
+/// Figures of the play.
 struct PlannedStop {
     std::size_t answer_bytes = 0;  ///< Size of each download.
     ReadPace pace;                 ///< At which clients read them; they are through within their deadline.
     std::vector<int> starts;       ///< When the downloads begin, in milliseconds from the SIGTERM.
-    /// Work of one more request, `unsafe`, that is sent 0.1 s before the SIGTERM; zero: there is none. The process goes
-    /// on for it.
-    Milliseconds long_work{0};
 };
 
 /// Plays it, judges LOST as the rules have it, and writes the record.
