Let the instance of review case 2 serve on for longer

Cause: after the kill the entry prefers the other instance for up to 6 s, so that few requests reached the leaving one in some runs. Change: the instance ends 14 s after its acknowledged leaving, not 9 s.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -20,7 +20,7 @@
 constexpr Milliseconds kKillDelay{100};        ///< From the acknowledgement of the leaving.
 constexpr Milliseconds kRestartDelay{500};     ///< The platform restarts an ended process after a short delay.
 /// The instance serves on after its acknowledgement: for `DrainMs` "and a little longer (at times many seconds)".
-constexpr Milliseconds kServesOn{9000};
+constexpr Milliseconds kServesOn{14000};
 constexpr double kContactSeconds = 3;
 constexpr double kDrainSeconds = 2;
 constexpr const char* kHost = "entregas.example";
