Let the review's nodes end with their driver

Cause: if a driver is ended from outside, the nodes that it started would go on. Change: a node that a driver starts gets SIGKILL when the driver ends.

--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -1,6 +1,7 @@
 #include "review/standins/deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -244,6 +245,7 @@
     const auto log = folder_ + "/" + machine_.name + ".log";
     process_ = ::fork();
     if (process_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the driver, however that ends.
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
