Take no request behind a pending one on a connection that closes

Cause: while a server closes its connections, a response closed its connection only if nothing else was pending there, and the connection went on handing over what came behind. So the node took requests up to its end. Evidence: node_stopping in_flight=4, node_idle in_flight=8 after_ms=5517; runs take 400 ms, and all came on the four connections. Ruled out: calls of before the SIGTERM; new connections. Change: a closing connection takes no request behind a pending one; its last response announces the close, and clients send the rest again. Bytes behind it are read and dropped, so that the close does not reset it.

--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -59,7 +59,7 @@
 
 std::size_t ServerConnection::onBytes(std::string_view bytes) {
     std::size_t consumed = 0;
-    while (!is_closed_ && !is_reading_done_ && pending_.size() < kMaxPipelined && consumed < bytes.size()) {
+    while (consumed < bytes.size() && readsRequests()) {
         std::size_t count = 0;
         const auto state = parser_.feed(bytes.data() + consumed, bytes.size() - consumed, &count);
         consumed += count;
@@ -80,6 +80,21 @@
     return consumed;
 }
 
+/// A connection that closes after its pending responses takes no request behind them. The last response announces the
+/// close, so that the client sends again what came behind it.
+bool ServerConnection::readsRequests() {
+    if (server_.close_after_response_ && !pending_.empty()) {
+        stopReading();
+    }
+    return !is_closed_ && !is_reading_done_ && pending_.size() < kMaxPipelined;
+}
+
+void ServerConnection::stopReading() {
+    is_reading_done_ = true;
+    is_head_timed_ = false;
+    parser_.reset();
+}
+
 void ServerConnection::sendContinueIfExpected() {
     if (parser_.hasCompleteHead() && parser_.expectsContinue() && !continue_sent_ && pending_.empty()) {
         continue_sent_ = true;
@@ -132,12 +147,12 @@
         const auto exchange = pending_.front();
         pending_.pop_front();
         exchange->connection_ = nullptr;
-        // Later pipelined requests already run, so only the last response may close the connection.
+        // The requests behind it were taken already, so only the last response may close the connection.
         const bool close_connection =
             pending_.empty() && pending_error_status_ == 0 && (server_.close_after_response_ || !exchange->keep_alive_);
         writeResponse(*exchange, close_connection);
         if (close_connection) {
-            is_reading_done_ = true;
+            stopReading();
             close_after_write_ = true;
         }
     }
@@ -147,7 +162,7 @@
         writeResponse(rejection, true);
         close_after_write_ = true;
     }
-    if (!is_reading_done_ && stream_.unconsumedBytes() > 0) {
+    if (stream_.unconsumedBytes() > 0) {
         redeliver_timer_ = server_.loop_.startTimer(Duration::zero(), [this] { stream_.redeliver(); });
     }
     shutdownIfWritten();
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -31,6 +31,10 @@
     std::size_t onBytes(std::string_view bytes) override;
     void onWritten() override { shutdownIfWritten(); }
     void onClosed(CloseReason) override { close(); }
+    /// @return whether the next bytes may be a request that is taken.
+    bool readsRequests();
+    /// Drops a request that was read in part, and discards all further bytes.
+    void stopReading();
     /// Passes the parsed request to the handler.
     void onRequest();
     void sendContinueIfExpected();
@@ -53,7 +57,7 @@
     std::optional<TimePoint> deadline_;  ///< When the connection times out; none while only the handler is awaited.
     TimePoint timer_expiry_{};           ///< When `timer_` fires: not later than `deadline_`.
     TimerHandle timer_;
-    TimerHandle redeliver_timer_;  ///< Parses unconsumed bytes again when a response was written.
+    TimerHandle redeliver_timer_;  ///< Parses or discards unconsumed bytes when a response was written.
     bool is_head_timed_ = false;   ///< `deadline_` is the header timeout of the current request.
     bool continue_sent_ = false;   ///< "100 Continue" was sent for the current request.
     bool is_closed_ = false;
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,20 @@
         return response.substr(0, response.find("\r\n"));
     }
 
+    /// Runs the loop until the server closes the connection. @return what it has sent.
+    std::string readToEnd(int descriptor) {
+        std::string text;
+        runUntil([&] {
+            char buffer[65536];
+            const auto count = recv(descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+            if (count > 0) {
+                text.append(buffer, static_cast<std::size_t>(count));
+            }
+            return count == 0 || (count < 0 && errno != EAGAIN);
+        });
+        return text;
+    }
+
     int received = 0;
     bool reply_at_once = true;
     std::vector<std::shared_ptr<adapters::ServerExchange>> pending;
@@ -70,6 +85,21 @@
         }};
 };
 
+HttpResponse okResponse(const std::string& body) {
+    HttpResponse response;
+    response.status = 200;
+    response.body = body;
+    return response;
+}
+
+std::size_t countOf(const std::string& part, const std::string& text) {
+    std::size_t count = 0;
+    for (auto found = text.find(part); found != std::string::npos; found = text.find(part, found + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
 struct RequestCase {
     const char* name;
     std::string request;
@@ -189,6 +219,46 @@
     close(busy);
 }
 
+/// Guards against a stop that takes requests up to its end from a connection that always has one at work, and then cuts
+/// them: a connection that is closing takes no request behind a pending one, and its last response closes it.
+BOOST_AUTO_TEST_CASE(a_stopping_server_takes_no_request_behind_a_pending_one) {
+    reply_at_once = false;
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string part = "GET / HTTP/1.1\r\nHo";
+    const int descriptor = connect();
+    BOOST_REQUIRE(write(descriptor, (request + request + part).data(), 2 * request.size() + part.size()) > 0);
+    runUntil([&] { return received == 2; });
+    server.closeAfterResponses();
+    const std::string rest = request.substr(part.size()) + request;
+    BOOST_REQUIRE(write(descriptor, rest.data(), rest.size()) > 0);
+    runFor(100ms);
+    BOOST_TEST(received == 2);
+    for (const auto& exchange : pending) {
+        exchange->reply(okResponse("done"));
+    }
+    const auto text = readToEnd(descriptor);
+    BOOST_TEST(countOf("200 OK", text) == 2U, text);
+    BOOST_TEST(countOf("Connection: close", text) == 1U, text);
+    BOOST_TEST(text.rfind("Connection: close") > text.rfind("200 OK"), text);
+    BOOST_TEST(received == 2);
+    close(descriptor);
+}
+
+/// Guards against a stop that leaves the requests of idle and of new connections unanswered while it still takes them.
+BOOST_AUTO_TEST_CASE(a_stopping_server_takes_one_more_request_of_each_idle_connection) {
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const int idle = connect();
+    runUntil([&] { return server.openConnections() == 1; });
+    server.closeAfterResponses();
+    const int fresh = connect();
+    for (const int descriptor : {idle, fresh}) {
+        BOOST_REQUIRE(write(descriptor, (request + request).data(), 2 * request.size()) > 0);
+        BOOST_TEST(countOf("200 OK", readToEnd(descriptor)) == 1U);
+        close(descriptor);
+    }
+    BOOST_TEST(received == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_server_closes_after_the_response_and_accepts_no_connection) {
     reply_at_once = false;
     const int descriptor = connect();
