Keep acknowledged leaves of instances over a restart of their node

What callers saw: an instance announces its shutdown, its node acknowledges and is killed.

Cause: that an incarnation has left, and the number of its last heartbeat, were known to one process; the others' records of it are replaced by the greater incarnation of the next one. Evidence: instance_changed state=INSTANCE_READY at the late heartbeat, after INSTANCE_GONE in the process before; entries go by the new record. Change: a node's record lists the leaves of its instances; other nodes keep those that a later process lacks and tell it in any message. A leave is acknowledged when two nodes have it, or after 0.4 s. A heartbeat of an unknown incarnation that is not its first counts once the instance confirms it at its health path. A draining heartbeat of another incarnation does not displace a ready instance.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -177,7 +177,7 @@
         ++rejected_heartbeats_;
         log_.write(Event("heartbeat_refused").with("path", request.path).with("error", response.body));
     }
-    exchange->reply(std::move(response));
+    node_.whenLeavesCopied([exchange, response]() { exchange->reply(response); });
 }
 
 void SidecarDaemon::cancelOnDisconnect(const Exchange& exchange, sidecar::SidecarNode::CallId call_id) {
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -122,23 +122,29 @@
     machine->service = options.service;
     machine->host = std::make_unique<Host>(queue_, zoneOf(address_index));
     auto* target = machine.get();
-    const NodeLink link{[this, target](const instance::Heartbeat& heartbeat, const std::string& incarnation) {
-                            if (target->node == nullptr || !target->host->isUp()) {
-                                return false;
-                            }
-                            target->node->onHeartbeat(heartbeat);
-                            if (heartbeat.is_draining) {
-                                drained_at_.try_emplace(incarnation, queue_.now());
+    const auto acknowledge = [this, target](const std::string& incarnation, bool is_leaving,
+                                            const NodeLink::Acknowledged& acknowledged) {
+        target->node->whenLeavesCopied([this, incarnation, is_leaving, acknowledged] {
+            if (is_leaving) {
+                drained_at_.try_emplace(incarnation, queue_.now());
+            }
+            acknowledged();
+        });
+    };
+    const NodeLink link{[target, acknowledge](const instance::Heartbeat& heartbeat, const std::string& incarnation,
+                                              const NodeLink::Acknowledged& acknowledged) {
+                            if (target->node != nullptr && target->host->isUp()) {
+                                target->node->onHeartbeat(heartbeat);
+                                acknowledge(incarnation, heartbeat.is_draining, acknowledged);
                             }
-                            return true;
                         },
-                        [this, target](const std::string& id, std::uint64_t start_ms, const std::string& incarnation) {
-                            if (target->node == nullptr || !target->host->isUp()) {
-                                return false;
+                        [target, acknowledge](const std::string& id, std::uint64_t start_ms,
+                                              const std::string& incarnation,
+                                              const NodeLink::Acknowledged& acknowledged) {
+                            if (target->node != nullptr && target->host->isUp()) {
+                                target->node->onInstanceLeave(id, start_ms);
+                                acknowledge(incarnation, true, acknowledged);
                             }
-                            target->node->onInstanceLeave(id, start_ms);
-                            drained_at_.try_emplace(incarnation, queue_.now());
-                            return true;
                         }};
     machine->instance =
         std::make_unique<SidecarInstance>(queue_, network_, random_, zoneOf(address_index), machine->instance_address,
@@ -315,6 +321,13 @@
         *table.add_tenants() = tenant;
     }
     routed_services_ = {work, sign, internal};
+    for (const auto& service : std::set<std::string>(routed_services_.begin(), routed_services_.end())) {
+        if (has_health_paths_) {
+            auto* entry = table.add_services();
+            entry->set_name(service);
+            entry->set_health_path("/health");
+        }
+    }
     recordTenants();
     store_.putTable(table);
     return table_version_;
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -145,6 +145,9 @@
     /// Sets the further routes, for callers, of the tables that are put from now on.
     void setExtraRoutes(std::vector<ExtraRoute> routes) { extra_routes_ = std::move(routes); }
 
+    /// Gives the services of the tables that are put from now on a health path.
+    void setHealthPaths() { has_health_paths_ = true; }
+
     /// Makes all open connections between nodes, and from nodes to their instances, silent for good.
     void silenceNodeConnections();
     /// Cuts a machine's node from the nodes of all other machines, or restores the links.
@@ -223,6 +226,7 @@
     std::vector<TenantVersion> tenant_versions_;  ///< Of all tables, in order.
     std::array<std::string, 3> routed_services_;  ///< Services of the last table's routes.
     std::vector<ExtraRoute> extra_routes_;
+    bool has_health_paths_ = false;
     EventQueue queue_;
     adapters::SeededRandom random_;
     Network network_;
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -49,6 +49,7 @@
         static_cast<std::uint64_t>(toMilliseconds(kWallClockAtEpoch + queue_.now().time_since_epoch() + clock_step_));
     sequence_ = 0;
     is_draining_ = false;
+    has_announced_leave_ = false;
     drain_acknowledged_ = {};
     network_.addServer(address_, Server{&host_,
                                         [this](HttpRequest request, Server::Reply reply) {
@@ -83,11 +84,19 @@
 }
 
 void SidecarInstance::leave() {
-    node_.leave(id_, start_ms_, incarnation_name_);
+    node_.leave(id_, start_ms_, incarnation_name_, [] {});
     crash();
 }
 
-void SidecarInstance::sendHeartbeat() {
+void SidecarInstance::announceLeave(Duration late_after, Duration serves_on) {
+    heartbeat_timer_.reset();
+    deliver(nextHeartbeat(), late_after);
+    has_announced_leave_ = true;
+    node_.leave(id_, start_ms_, incarnation_name_, [this] { drain_acknowledged_ = queue_.now(); });
+    leave_timer_ = host_.startTimer(serves_on, [this] { crash(); });
+}
+
+instance::Heartbeat SidecarInstance::nextHeartbeat() {
     instance::Heartbeat heartbeat;
     heartbeat.id = id_;
     heartbeat.start_ms = options_.reports_start_time ? start_ms_ : 0;
@@ -95,20 +104,29 @@
     heartbeat.slots = options_.slots;
     heartbeat.is_draining = is_draining_;
     heartbeat.sequence = ++sequence_;
+    return heartbeat;
+}
+
+void SidecarInstance::sendHeartbeat() {
+    const auto heartbeat = nextHeartbeat();
     const bool is_late = random_.unit() < options_.late_heartbeat_share;
     const auto delay =
         is_late
             ? Duration(static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(kMaxHeartbeatDelay.count()))))
             : Duration::zero();
-    // A delayed heartbeat is delivered also after the instance has stopped.
+    deliver(heartbeat, delay);
+    heartbeat_timer_ = host_.startTimer(options_.heartbeat_interval, [this] { sendHeartbeat(); });
+}
+
+/// A delayed heartbeat is delivered also after the instance has stopped.
+void SidecarInstance::deliver(const instance::Heartbeat& heartbeat, Duration delay) {
     queue_.schedule(queue_.now() + delay, nullptr, [this, heartbeat, incarnation_name = incarnation_name_] {
-        const bool is_acknowledged = node_.heartbeat(heartbeat, incarnation_name);
-        if (is_acknowledged && heartbeat.is_draining && incarnation_name == incarnation_name_ &&
-            drain_acknowledged_ == TimePoint{}) {
-            drain_acknowledged_ = queue_.now();
-        }
+        node_.heartbeat(heartbeat, incarnation_name, [this, heartbeat, incarnation_name] {
+            if (heartbeat.is_draining && incarnation_name == incarnation_name_ && drain_acknowledged_ == TimePoint{}) {
+                drain_acknowledged_ = queue_.now();
+            }
+        });
     });
-    heartbeat_timer_ = host_.startTimer(options_.heartbeat_interval, [this] { sendHeartbeat(); });
 }
 
 std::size_t SidecarInstance::maxConnections() const {
@@ -123,7 +141,7 @@
     const auto run_id = ++last_run_id_;
     HttpResponse response;
     if (request.path == kProbePath) {
-        response.status = kHttpOk;
+        response.status = is_draining_ || has_announced_leave_ ? kHttpServiceUnavailable : kHttpOk;
         response.headers.set(names_.instance_id, id_);
         reply(std::move(response));
         return run_id;
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -104,10 +104,15 @@
 void recordPassedSignals(const HttpResponse& response, const std::string& entry, TimePoint now,
                          InstanceRecords* records);
 
-/// How an instance reaches its local node. Both functions return false if the node is down.
+/// How an instance reaches its local node. `acknowledged` is called when the node has acknowledged the message, and not
+/// if the node is down.
 struct NodeLink {
-    std::function<bool(const instance::Heartbeat&, const std::string& incarnation_name)> heartbeat;
-    std::function<bool(const std::string& id, std::uint64_t start_ms, const std::string& incarnation_name)> leave;
+    using Acknowledged = std::function<void()>;
+    std::function<void(const instance::Heartbeat&, const std::string& incarnation_name, Acknowledged acknowledged)>
+        heartbeat;
+    std::function<void(const std::string& id, std::uint64_t start_ms, const std::string& incarnation_name,
+                       Acknowledged acknowledged)>
+        leave;
 };
 
 /// The instance at one address. Each start is a new incarnation, with a new id unless `keeps_id` is set.
@@ -124,6 +129,10 @@
     void crash();
     /// Sends a heartbeat that says that the instance drains; 4 s later it leaves and stops.
     void drain();
+    /// Leaves without draining: announces its shutdown, sends no further heartbeat, serves on and stops.
+    /// @param late_after after this time, a heartbeat from before arrives that says that the instance is ready.
+    /// @param serves_on time from the announcement until it stops.
+    void announceLeave(Duration late_after, Duration serves_on);
     /// @return the options, which may be changed while the instance runs.
     InstanceOptions& options() { return options_; }
     /// @return the id that heartbeats contain; empty while the instance is down.
@@ -133,7 +142,7 @@
     /// Steps the machine's wall clock, from which the next start time is taken.
     void stepClock(Duration step) { clock_step_ += step; }
     [[nodiscard]] bool isUp() const { return host_.isUp() && !id_.empty(); }
-    /// @return when a node first acknowledged a draining heartbeat; the epoch if none has.
+    /// @return when a node first acknowledged that it drains or leaves; the epoch if none has.
     [[nodiscard]] TimePoint drainAcknowledged() const { return drain_acknowledged_; }
     Host& host() { return host_; }
 
@@ -148,6 +157,8 @@
     HttpResponse makeResponse(const HttpRequest& request, int status);
     /// Adds the headers that all responses of the instance have.
     void addSignals(HttpResponse* response);
+    [[nodiscard]] instance::Heartbeat nextHeartbeat();
+    void deliver(const instance::Heartbeat& heartbeat, Duration delay);
     void sendHeartbeat();
     void leave();
 
@@ -176,6 +187,7 @@
     std::uint64_t sequence_ = 0;  ///< Of the last heartbeat.
     std::uint64_t last_run_id_ = 0;
     bool is_draining_ = false;
+    bool has_announced_leave_ = false;
     TimePoint drain_acknowledged_{};
     TimerHandle heartbeat_timer_;
     TimerHandle leave_timer_;
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -81,6 +81,7 @@
     message.set_sender_address(directory_.self().address());
     message.set_table_version(table_.version());
     message.set_store_era(store_era_);
+    message.set_sender_incarnation(directory_.self().incarnation());
     if (const auto age = lease_.age(clock_.now())) {
         message.set_table_age_us(static_cast<std::uint64_t>(age->count()));
     }
@@ -124,18 +125,58 @@
     auto rumor = makeMessage();
     rumor.set_is_rumor(true);
     std::vector<std::string> sent_names;
+    std::uint64_t self_sequence = 0;
     for (const auto& name : names) {
         rumors_.onSent(name);
+        self_sequence = name == directory_.self().name() ? directory_.self().sequence() : self_sequence;
         if (const auto* record = directory_.record(name)) {
             *rumor.add_records() = *record;
             sent_names.push_back(name);
         }
     }
-    send(node, rumor, [this, sent_names = std::move(sent_names)](const wire::Gossip* response) {
+    send(node, rumor, [this, node, self_sequence, sent_names = std::move(sent_names)](const wire::Gossip* response) {
         onRumorResponse(sent_names, response);
+        if (response != nullptr && self_sequence > 0) {
+            onSelfCopied(node, self_sequence);
+        }
     });
 }
 
+// Copies of the own record -----------------------------------------------------
+
+void Gossip::awaitCopies(std::size_t copies, Duration limit, std::function<void()> done) {
+    const auto available = std::min(copies, directory_.otherCount());
+    if (available == 0) {
+        done();
+        return;
+    }
+    const auto id = ++last_copy_wait_;
+    auto limit_timer = clock_.startTimer(limit, [this, id] { endCopyWait(id); });
+    copy_waits_[id] = {directory_.self().sequence(), available, {}, std::move(done), std::move(limit_timer)};
+}
+
+void Gossip::onSelfCopied(const std::string& node, std::uint64_t sequence) {
+    std::vector<std::uint64_t> complete;
+    for (auto& [id, wait] : copy_waits_) {
+        if (sequence >= wait.sequence) {
+            wait.nodes.insert(node);
+        }
+        if (wait.nodes.size() >= wait.copies) {
+            complete.push_back(id);
+        }
+    }
+    for (const auto id : complete) {
+        endCopyWait(id);
+    }
+}
+
+void Gossip::endCopyWait(std::uint64_t id) {
+    auto wait = copy_waits_.extract(id);
+    if (!wait.empty()) {
+        wait.mapped().done();
+    }
+}
+
 void Gossip::onRumorResponse(const std::vector<std::string>& names, const wire::Gossip* response) {
     if (response == nullptr) {
         return;
@@ -239,7 +280,16 @@
 
 void Gossip::send(const std::string& name, const wire::Gossip& message, Duration timeout, OnResponse done) {
     if (const auto* node = directory_.find(name)) {
-        sendTo(node->record.address(), name, message, timeout, std::move(done));
+        auto addressed = message;
+        addFormerLeaves(name, &addressed);
+        sendTo(node->record.address(), name, addressed, timeout, std::move(done));
+    }
+}
+
+/// A restarted node has forgotten what it acknowledged to its instance, and other nodes have not.
+void Gossip::addFormerLeaves(const std::string& receiver, wire::Gossip* message) const {
+    for (auto& leave : directory_.formerLeaves(receiver)) {
+        *message->add_receiver_leaves() = std::move(leave);
     }
 }
 
@@ -274,7 +324,11 @@
     if (has_response) {
         directory_.addAddress(response.sender(), "", response.sender_address());
         directory_.onReached(response.sender());
+        const bool has_restarted = directory_.onIncarnationSeen(response.sender(), response.sender_incarnation());
         mergeMessage(response, nullptr);
+        if (has_restarted && !directory_.formerLeaves(response.sender()).empty()) {
+            send(response.sender(), makeMessage(), nullptr);
+        }
         fetchIfNewer(response.sender(), response.table_version());
         if (response.has_table_age_us()) {
             const Duration age(static_cast<std::int64_t>(response.table_age_us()));
@@ -330,6 +384,9 @@
         }
     }
     directory_.onTableVersion(message.sender(), message.table_version());
+    if (message.receiver_leaves_size() > 0) {
+        signal_leaves_recovered_.emit({message.receiver_leaves().begin(), message.receiver_leaves().end()});
+    }
     onStoreEra(message.store_era());
     if (message.has_table()) {
         adoptTable(message.table(), message.sender());
@@ -375,8 +432,10 @@
     }
     directory_.addAddress(received.sender(), "", received.sender_address());
     directory_.onMessageReceived(received.sender());
+    directory_.onIncarnationSeen(received.sender(), received.sender_incarnation());
     auto reply = makeMessage();
     mergeMessage(received, &reply);
+    addFormerLeaves(received.sender(), &reply);
     if (received.digest_size() > 0) {
         const auto difference = directory_.differenceTo({received.digest().begin(), received.digest().end()});
         for (const auto& record : difference.newer) {
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -71,6 +71,14 @@
     void onStoreEra(std::uint64_t era);
     /// Emitted once for each increase of a known store era: the store was restored from an older copy.
     sigc::signal<void()>& signalStoreRestored() { return signal_store_restored_; }
+    /// Emitted with leaves of the local instance that earlier processes of this node have recorded.
+    sigc::signal<void(const std::vector<wire::InstanceLeave>&)>& signalLeavesRecovered() {
+        return signal_leaves_recovered_;
+    }
+    /// Waits until other nodes have the own record as it is now.
+    /// @param copies number of them; fewer suffice if fewer are known.
+    /// @param done called once, also if `limit` has passed.
+    void awaitCopies(std::size_t copies, Duration limit, std::function<void()> done);
     /// The greatest known era of the store; 0 if none is known.
     [[nodiscard]] std::uint64_t storeEra() const { return store_era_; }
     /// Records a node's table version, from gossip or call metadata, and requests the table if it is newer.
@@ -92,6 +100,9 @@
     void sendRumorRound();
     void sendRumors(const std::string& node, const std::vector<std::string>& names);
     void onRumorResponse(const std::vector<std::string>& names, const wire::Gossip* response);
+    void onSelfCopied(const std::string& node, std::uint64_t sequence);
+    void endCopyWait(std::uint64_t id);
+    void addFormerLeaves(const std::string& receiver, wire::Gossip* message) const;
     [[nodiscard]] wire::Gossip makeMessage() const;
     void send(const std::string& name, const wire::Gossip& message, OnResponse done);
     void send(const std::string& name, const wire::Gossip& message, Duration timeout, OnResponse done);
@@ -121,9 +132,20 @@
     std::set<std::string> table_requests_;  ///< Nodes with a request for the table; at most max_table_requests.
     std::map<std::uint64_t, AttemptHandle> in_flight_;  ///< Messages without a response yet, by attempt id.
     std::uint64_t last_attempt_id_ = 0;
+    /// A caller of awaitCopies().
+    struct CopyWait {
+        std::uint64_t sequence = 0;   ///< Of the record that is to be copied.
+        std::size_t copies = 0;       ///< Number of nodes that shall have it.
+        std::set<std::string> nodes;  ///< Those that have it.
+        std::function<void()> done;
+        TimerHandle limit_timer;
+    };
+    std::map<std::uint64_t, CopyWait> copy_waits_;  ///< By an increasing id.
+    std::uint64_t last_copy_wait_ = 0;
     RumorQueue rumors_;
     std::uint64_t store_era_ = 0;  ///< The greatest known era of the store; 0 if none is known.
     sigc::signal<void()> signal_store_restored_;
+    sigc::signal<void(const std::vector<wire::InstanceLeave>&)> signal_leaves_recovered_;
     std::size_t next_fanout_ = 0;  ///< Number of receivers of the next rumor round; 0 while none is scheduled.
     TimerHandle tick_timer_;
     TimerHandle rumor_timer_;
--- a/src/fleet/node_directory.cc
+++ b/src/fleet/node_directory.cc
@@ -32,6 +32,30 @@
                                 XXH3_64bits(record.name().data(), record.name().size()));
 }
 
+bool isSameIncarnation(const wire::InstanceLeave& left, const wire::InstanceLeave& right) {
+    return left.id() == right.id() && left.born_ms() == right.born_ms();
+}
+
+/// Adds the leaves of a node's record to the former ones, the latest last; the earliest surplus ones are dropped.
+void keepFormerLeaves(KnownNode* known) {
+    auto& former = known->former_leaves;
+    for (const auto& leave : known->record.leaves()) {
+        std::erase_if(former, [&leave](const auto& it) { return isSameIncarnation(it, leave); });
+        former.push_back(leave);
+    }
+    const auto surplus = former.size() - std::min(former.size(), kMaxFormerLeaves);
+    former.erase(former.begin(), former.begin() + static_cast<std::ptrdiff_t>(surplus));
+}
+
+/// Removes the leaves that a record of the present process has.
+void dropKnownLeaves(const wire::NodeRecord& record, std::vector<wire::InstanceLeave>* former) {
+    for (const auto& leave : record.leaves()) {
+        std::erase_if(*former, [&leave](const auto& it) {
+            return isSameIncarnation(it, leave) && (leave.has_left() || !it.has_left());
+        });
+    }
+}
+
 }  // namespace
 
 NodeDirectory::NodeDirectory(Clock& clock, wire::NodeRecord self)
@@ -95,14 +119,15 @@
     }
 }
 
-void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, bool is_stopping) {
-    if (instance.SerializeAsString() == self_.instance().SerializeAsString() && is_stopping == self_.is_stopping()) {
-        return;
-    }
+void NodeDirectory::updateSelf(const wire::InstanceRecord& instance, const std::vector<wire::InstanceLeave>& leaves,
+                               bool is_stopping) {
     auto next = self_;
     *next.mutable_instance() = instance;
+    next.mutable_leaves()->Assign(leaves.begin(), leaves.end());
     next.set_is_stopping(is_stopping);
-    replaceSelf(next);
+    if (next.SerializeAsString() != self_.SerializeAsString()) {
+        replaceSelf(next);
+    }
 }
 
 void NodeDirectory::setQuotaShards(const std::vector<std::uint32_t>& shards,
@@ -160,7 +185,9 @@
         known.failures = 0;
         known.table_version = 0;
         known.is_superseded = false;
+        keepFormerLeaves(&known);
     }
+    dropKnownLeaves(record, &known.former_leaves);
     const bool has_moved = record.address() != known.record.address();
     known.is_superseded = known.is_superseded && !has_moved;
     replaceOtherRecord(&known, record);
@@ -183,6 +210,25 @@
     }
 }
 
+bool NodeDirectory::onIncarnationSeen(const std::string& name, std::uint64_t incarnation) {
+    const auto found = others_.find(name);
+    if (found == others_.end()) {
+        return false;
+    }
+    auto& known = found->second;
+    if (incarnation <= std::max(known.record.incarnation(), known.seen_incarnation)) {
+        return false;
+    }
+    known.seen_incarnation = incarnation;
+    keepFormerLeaves(&known);
+    return true;
+}
+
+std::vector<wire::InstanceLeave> NodeDirectory::formerLeaves(const std::string& name) const {
+    const auto* known = find(name);
+    return known == nullptr ? std::vector<wire::InstanceLeave>() : known->former_leaves;
+}
+
 void NodeDirectory::addAddress(const std::string& name, const std::string& zone, const std::string& address) {
     if (name == self_.name() || others_.contains(name)) {
         return;
--- a/src/fleet/node_directory.h
+++ b/src/fleet/node_directory.h
@@ -26,8 +26,14 @@
     std::uint32_t failures = 0;       ///< Failed contacts since the last successful one; suspected if over 0.
     bool is_superseded = false;       ///< Another node uses its address, and it has not responded there since.
     std::uint64_t rank = 0;           ///< Hash of its name; a zone's nodes are ordered by falling rank.
+    /// Leaves in records of its earlier processes that its present process may not know; at most kMaxFormerLeaves.
+    std::vector<wire::InstanceLeave> former_leaves;
+    std::uint64_t seen_incarnation = 0;  ///< The latest in a message of the node; its record may be of an earlier one.
 };
 
+/// Most former leaves that are kept of a node.
+inline constexpr std::size_t kMaxFormerLeaves = 8;
+
 /// Holds one record per node. Records merge by (incarnation, sequence): all directories converge, whatever the order of
 /// arrival. Only a node itself writes its record; if it receives a newer one of itself, it raises its incarnation.
 class NodeDirectory {
@@ -36,8 +42,10 @@
     NodeDirectory(Clock& clock, wire::NodeRecord self);
 
     [[nodiscard]] const wire::NodeRecord& self() const { return self_; }
-    /// Updates the state of the local instance, and whether this node is stopping, in the own record.
-    void updateSelf(const wire::InstanceRecord& instance, bool is_stopping);
+    /// Updates the state of the local instance, the leaves of its incarnations, and whether this node is stopping, in
+    /// the own record.
+    void updateSelf(const wire::InstanceRecord& instance, const std::vector<wire::InstanceLeave>& leaves,
+                    bool is_stopping);
     /// Updates the quota shards that this node owns.
     /// @param offered those of them that other nodes may take over.
     void setQuotaShards(const std::vector<std::uint32_t>& shards, const std::vector<std::uint32_t>& offered);
@@ -92,6 +100,11 @@
     void onSuperseded(const std::string& name);
     /// A contact with the node has failed.
     void onUnreachable(const std::string& name);
+    /// Records the incarnation that a message of a node names.
+    /// @return whether that shows for the first time that its process is a later one than that of its record.
+    bool onIncarnationSeen(const std::string& name, std::uint64_t incarnation);
+    /// The leaves that earlier processes of a node have recorded and its present process may not know.
+    [[nodiscard]] std::vector<wire::InstanceLeave> formerLeaves(const std::string& name) const;
     /// Records the table version of a node; an older one is ignored.
     void onTableVersion(const std::string& name, std::uint64_t version);
 
--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -47,6 +47,9 @@
     if (active.first.empty() || incarnation == active) {
         return true;
     }
+    if (state->is_leaving && isReady()) {
+        return false;  // It may be delayed, and has nothing to offer.
+    }
     const bool are_starts_known = incarnation.second > 0 && active.second > 0;
     if (!are_starts_known && incarnation.first == active.first) {
         return incarnation.second > active.second;
@@ -70,6 +73,9 @@
         return false;
     }
     state.sequence = heartbeat.sequence;
+    if (heartbeat.is_draining && recordLeave(&state, false)) {
+        signal_leaves_changed_.emit();
+    }
     if (!replacesCurrent(incarnation, &state)) {
         return false;
     }
@@ -80,8 +86,7 @@
     record.set_id(heartbeat.id);
     record.set_born_ms(heartbeat.start_ms);
     record.set_slots(heartbeat.slots);
-    const bool is_draining = heartbeat.is_draining || state.is_leaving;
-    record.set_state(is_draining ? wire::INSTANCE_DRAINING : wire::INSTANCE_READY);
+    record.set_state(state.is_leaving ? wire::INSTANCE_DRAINING : wire::INSTANCE_READY);
     record.set_cold_left_ms(static_cast<std::uint32_t>(toMilliseconds(heartbeat.cold_left)));
     // The remaining warm-up time passes by itself and does not count as a change.
     const bool is_change = incarnation != current() || record.state() != record_.state() ||
@@ -100,7 +105,9 @@
     const auto active = current();
     const bool names_current = active.first.empty() || (active.first == id && (start_ms == 0 || active.second == 0));
     const Incarnation incarnation{id, start_ms == 0 && names_current ? active.second : start_ms};
-    stateOf(incarnation).has_left = true;
+    if (recordLeave(&stateOf(incarnation), true)) {
+        signal_leaves_changed_.emit();
+    }
     const bool is_later = active.second > 0 && start_ms > active.second;
     if (names_current || is_later || incarnation == active) {
         record_.set_id(id);
@@ -110,17 +117,66 @@
 }
 
 bool LocalInstance::onLeaving() {
-    auto& state = stateOf(current());
-    if (state.is_leaving) {
+    if (!recordLeave(&stateOf(current()), false)) {
         return false;
     }
-    state.is_leaving = true;
+    signal_leaves_changed_.emit();
     if (record_.state() == wire::INSTANCE_READY || record_.state() == wire::INSTANCE_UNKNOWN) {
         setState(wire::INSTANCE_DRAINING);
     }
     return true;
 }
 
+std::vector<wire::InstanceLeave> LocalInstance::leaves() const {
+    std::map<std::uint64_t, wire::InstanceLeave> by_use;
+    for (const auto& [incarnation, state] : incarnations_) {
+        if (state.has_left || state.is_leaving) {
+            auto& leave = by_use[state.last_use];
+            leave.set_id(incarnation.first);
+            leave.set_born_ms(incarnation.second);
+            leave.set_has_left(state.has_left);
+        }
+    }
+    std::vector<wire::InstanceLeave> leaves;
+    for (const auto& [last_use, leave] : by_use) {
+        leaves.push_back(leave);
+    }
+    const auto surplus = leaves.size() - std::min(leaves.size(), kMaxReportedLeaves);
+    leaves.erase(leaves.begin(), leaves.begin() + static_cast<std::ptrdiff_t>(surplus));
+    return leaves;
+}
+
+bool LocalInstance::restoreLeaves(const std::vector<wire::InstanceLeave>& leaves) {
+    bool is_any_new = false;
+    for (const auto& leave : leaves) {
+        is_any_new = restoreLeave(leave) || is_any_new;
+    }
+    if (is_any_new) {
+        signal_leaves_changed_.emit();
+    }
+    return is_any_new;
+}
+
+bool LocalInstance::recordLeave(IncarnationState* state, bool has_left) {
+    if (state->has_left || (state->is_leaving && !has_left)) {
+        return false;
+    }
+    state->is_leaving = true;
+    state->has_left = has_left;
+    return true;
+}
+
+bool LocalInstance::restoreLeave(const wire::InstanceLeave& leave) {
+    const Incarnation incarnation{leave.id(), leave.born_ms()};
+    if (!recordLeave(&stateOf(incarnation), leave.has_left())) {
+        return false;
+    }
+    if (incarnation == current()) {
+        setState(leave.has_left() ? wire::INSTANCE_GONE : wire::INSTANCE_DRAINING);
+    }
+    return true;
+}
+
 void LocalInstance::onUnreachable() {
     if (isReady()) {
         setState(wire::INSTANCE_UNKNOWN);
@@ -144,7 +200,9 @@
 
 void LocalInstance::onMisdirected(const std::string& expected) {
     if (record_.id() == expected) {
-        stateOf(current()).has_left = true;
+        if (recordLeave(&stateOf(current()), true)) {
+            signal_leaves_changed_.emit();
+        }
         setState(wire::INSTANCE_GONE);
     }
 }
--- a/src/instance/local_instance.h
+++ b/src/instance/local_instance.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "proto/generated/fleet.pb.h"
 #include "src/base/time.h"
@@ -32,6 +33,10 @@
 std::string incarnationName(const std::string& id, std::uint64_t start_ms);
 std::string incarnationName(const wire::InstanceRecord& record);
 
+/// Most incarnations whose leaves a node reports to others. An incarnation lives for seconds at least, and its messages
+/// are delayed by seconds.
+inline constexpr std::size_t kMaxReportedLeaves = 8;
+
 /// Tracks the one instance co-located with the node. Each start of an instance is an incarnation (id, start time).
 /// Invariants: an older heartbeat never overrides a newer one of the same incarnation, and an incarnation that has
 /// left never returns, nor does one that is leaving become ready again. Of two incarnations the one with the later
@@ -41,6 +46,10 @@
     /// @param contact_timeout time without heartbeat and response after which the state becomes unknown.
     LocalInstance(Clock& clock, Duration contact_timeout);
 
+    /// @return whether the incarnation is on record, so that its heartbeats can be ordered.
+    [[nodiscard]] bool knows(const std::string& id, std::uint64_t start_ms) const {
+        return incarnations_.contains({id, start_ms});
+    }
     /// @return false if the heartbeat is outdated and was ignored.
     bool onHeartbeat(const Heartbeat& heartbeat);
     /// The instance has announced its shutdown. @param start_ms start time of the incarnation that leaves; 0 if
@@ -59,6 +68,12 @@
     [[nodiscard]] TimePoint lastContact() const { return last_contact_; }
     /// The host has resumed from suspension: restarts the contact timeout, as nothing could arrive meanwhile.
     void onHostResumed();
+    /// Takes over the leaves that an earlier process of this node has acknowledged.
+    /// @return whether any of them was unknown here.
+    bool restoreLeaves(const std::vector<wire::InstanceLeave>& leaves);
+    /// @return the incarnations that have announced their shutdown, the latest last; at most kMaxReportedLeaves.
+    [[nodiscard]] std::vector<wire::InstanceLeave> leaves() const;
+
     /// Another instance than `expected` has responded at the address: `expected` counts as gone.
     void onMisdirected(const std::string& expected);
 
@@ -73,6 +88,8 @@
 
     /// Emitted after each change of id, state, slots or service.
     sigc::signal<void()>& signalChanged() { return signal_changed_; }
+    /// Emitted after each change of leaves().
+    sigc::signal<void()>& signalLeavesChanged() { return signal_leaves_changed_; }
 
 private:
     using Incarnation = std::pair<std::string, std::uint64_t>;  ///< Id and start time in ms.
@@ -84,6 +101,9 @@
         std::uint64_t last_use = 0;           ///< The entry with the lowest value is evicted first.
         std::optional<TimePoint> first_seen;  ///< Set while an earlier start time delays the replacement.
     };
+    /// Records that an incarnation is leaving, or has left. @return whether that is new.
+    static bool recordLeave(IncarnationState* state, bool has_left);
+    bool restoreLeave(const wire::InstanceLeave& leave);
     IncarnationState& stateOf(const Incarnation& incarnation);
     [[nodiscard]] Incarnation current() const { return {record_.id(), record_.born_ms()}; }
     bool replacesCurrent(const Incarnation& incarnation, IncarnationState* state);
@@ -98,6 +118,7 @@
     TimePoint last_contact_{};
     TimerHandle contact_timer_;
     sigc::signal<void()> signal_changed_;
+    sigc::signal<void()> signal_leaves_changed_;
 };
 
 }  // namespace dewcrank::instance
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -14,6 +14,7 @@
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
+#include "src/instance/heartbeat_check.h"
 #include "src/policy/table_lease.h"
 #include "src/quarantine/exchange.h"
 #include "src/quota/quota_client.h"
@@ -50,6 +51,11 @@
     Duration drain_time = 2500ms;
     /// Maximum time from stop() until the node has stopped, with or without calls in flight.
     Duration max_stop_time = 5500ms;
+    instance::HeartbeatCheckKnobs heartbeat_check;
+    /// Number of other nodes that have an instance's leave before it is acknowledged.
+    std::size_t leave_copies = 2;
+    /// A leave is acknowledged after this time even without them: an instance waits for a second.
+    Duration leave_copy_limit = 400ms;
     OverloadFeatures overload;
     DisabledMechanisms disabled;  ///< Tests only.
 };
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -62,6 +62,10 @@
       gossip_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, lease_, settings_.knobs.gossip),
       failure_detector_(ports.clock, directory_, gossip_, settings_.knobs.failure_detector),
       instance_(ports.clock, settings_.knobs.instance_timeout),
+      heartbeat_check_(
+          ports.clock, ports.instances, settings_.header_names, settings_.instance_address,
+          [this](const instance::Heartbeat& heartbeat) { instance_.onHeartbeat(heartbeat); },
+          settings_.knobs.heartbeat_check),
       quarantine_(ports.clock, settings_.knobs.quarantine),
       quarantine_exchange_(ports.clock, ports.random, ports.log, ports.nodes, directory_, quarantine_,
                            settings_.service, settings_.knobs.quarantine_exchange),
@@ -100,12 +104,18 @@
              settings_.knobs.quota_client, settings_.knobs.overload),
       intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}),
       load_logger_(ports.clock, ports.log, settings_.service, relay_, bottlenecks_, settings_.knobs.relay.retry_limit) {
-    instance_.signalChanged().connect([this] { publishSelf(); });
+    instance_.signalChanged().connect([this] { onInstanceChanged(); });
+    instance_.signalLeavesChanged().connect([this] {
+        has_uncopied_leaves_ = true;
+        publishSelf();
+    });
+    gossip_.signalLeavesRecovered().connect(
+        [this](const std::vector<wire::InstanceLeave>& leaves) { onLeavesRecovered(leaves); });
     relay_.signalCrashed().connect(
         [this](const quarantine::CrashNotice& notice) { quarantine_exchange_.broadcast(notice); });
     relay_.setReplicaView([this] { return fleet::replicasOf(directory_, settings_.service); });
     quarantine_exchange_.signalInstanceCrashed().connect([this] { relay_.onRemoteCrash(); });
-    table_.signalAdopted().connect([this] { setProbePath(); });
+    table_.signalAdopted().connect([this] { onTableAdopted(); });
     failure_detector_.signalUnresponsive().connect([this](const std::string& name) { onNodeUnresponsive(name); });
     directory_.signalChanged().connect(
         [this](const std::string&) { relay_.setRelayCount(selector_.relayCount(settings_.service)); });
@@ -132,27 +142,52 @@
     return table_.isKnown() && !is_stopping_ && store_session_.isJoined();
 }
 
-void SidecarNode::publishSelf() {
-    auto record = instance_.record();
+void SidecarNode::onInstanceChanged() {
+    const auto& record = instance_.record();
     ports_.log.write(Event("instance_changed")
                          .with("instance", instance::incarnationName(record))
                          .with("service", record.service())
                          .with("state", wire::InstanceState_Name(record.state()))
                          .with("slots", record.slots()));
+    publishSelf();
+}
+
+void SidecarNode::publishSelf() {
+    auto record = instance_.record();
     if (settings_.knobs.disabled.drain_check && record.state() == wire::INSTANCE_DRAINING) {
         record.set_state(wire::INSTANCE_READY);
     }
-    directory_.updateSelf(record, is_stopping_);
+    directory_.updateSelf(record, instance_.leaves(), is_stopping_);
     relay_.setRelayCount(selector_.relayCount(settings_.service));
 }
 
-/// Keeps the previous path if the table does not contain the instance's service.
-void SidecarNode::setProbePath() {
+void SidecarNode::whenLeavesCopied(std::function<void()> done) {
+    if (std::exchange(has_uncopied_leaves_, false)) {
+        gossip_.awaitCopies(settings_.knobs.leave_copies, settings_.knobs.leave_copy_limit, std::move(done));
+    } else {
+        done();
+    }
+}
+
+/// An acknowledged leave binds this node also if an earlier process of it has acknowledged it.
+void SidecarNode::onLeavesRecovered(const std::vector<wire::InstanceLeave>& leaves) {
+    if (instance_.restoreLeaves(leaves)) {
+        ports_.log.write(Event("leaves_recovered").with("count", leaves.size()));
+    }
+}
+
+/// The relay keeps the previous path if the table does not contain the instance's service.
+void SidecarNode::onTableAdopted() {
+    std::string health_path;
     for (const auto& service : table_.contents().services()) {
-        if (service.name() == settings_.service && !service.health_path().empty()) {
-            relay_.setProbePath(service.health_path());
+        if (service.name() == settings_.service) {
+            health_path = service.health_path();
         }
     }
+    if (!health_path.empty()) {
+        relay_.setProbePath(health_path);
+    }
+    heartbeat_check_.onTable(health_path);
 }
 
 bool SidecarNode::onHeartbeat(const instance::Heartbeat& heartbeat) {
@@ -160,7 +195,7 @@
         return false;
     }
     ++counters_.heartbeats;
-    instance_.onHeartbeat(heartbeat);
+    heartbeat_check_.onHeartbeat(heartbeat, instance_.knows(heartbeat.id, heartbeat.start_ms));
     return true;
 }
 
@@ -425,7 +460,7 @@
     ports_.log.write(Event("node_stopping").with("in_flight", inFlight()));
     relay_.stop(stop_started_ + settings_.knobs.max_stop_time - kStopCheckInterval);
     shard_lease_manager_.release();
-    directory_.updateSelf(instance_.record(), true);
+    directory_.updateSelf(instance_.record(), instance_.leaves(), true);
     if (instance_.record().state() == wire::INSTANCE_GONE) {
         store_session_.withdraw();
     }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -17,6 +17,7 @@
 #include "src/fleet/failure_detector.h"
 #include "src/fleet/gossip.h"
 #include "src/fleet/node_directory.h"
+#include "src/instance/heartbeat_check.h"
 #include "src/instance/local_instance.h"
 #include "src/policy/route_table.h"
 #include "src/ports/clock.h"
@@ -57,6 +58,7 @@
 ///   request_turned_away   a request of a local caller was rejected before it became a call
 ///   relayed               a call of another node has a response of the local instance
 ///   relay_refused         a call of another node has no response of the local instance
+///   leaves_recovered      another node knew of leaves of the local instance that this process did not know
 ///   node_silent           the failure detector has found the node `peer` unresponsive
 ///   machine_suspended     the host has resumed after a suspension of `for_ms` milliseconds
 ///   node_stopping         a graceful shutdown has started
@@ -87,6 +89,9 @@
     bool onHeartbeat(const instance::Heartbeat& heartbeat);
     /// The instance deregisters. @param start_ms start time of its incarnation in milliseconds; 0: not given.
     void onInstanceLeave(const std::string& id, std::uint64_t start_ms = 0);
+    /// Waits until other nodes know the leaves that the instance has announced: an acknowledged one is binding, also for
+    /// the next process of this node. @param done called once, within `leave_copy_limit`; at once if all are known.
+    void whenLeavesCopied(std::function<void()> done);
     /// The host has resumed after it was suspended for this time.
     void onHostResumed(Duration suspended);
 
@@ -142,8 +147,10 @@
     [[nodiscard]] std::optional<FleetRate> fleetRateOf(const std::string& tenant) const;
     void onCallEnded(CallId call_id, const entry::EntryReport& report);
     void logRelayed(const std::string& request_id, const relay::RelayResult& result);
+    void onInstanceChanged();
     void publishSelf();
-    void setProbePath();
+    void onLeavesRecovered(const std::vector<wire::InstanceLeave>& leaves);
+    void onTableAdopted();
     void onNodeUnresponsive(const std::string& name);
     void onDrained();
     void checkStopped();
@@ -158,6 +165,7 @@
     fleet::Gossip gossip_;
     fleet::FailureDetector failure_detector_;
     instance::LocalInstance instance_;
+    instance::HeartbeatCheck heartbeat_check_;
     quarantine::Quarantine quarantine_;
     quarantine::Exchange quarantine_exchange_;
     relay::RelayService relay_;
@@ -182,6 +190,7 @@
     std::map<CallId, relay::RelayService::CallId> relayed_calls_;
     std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;  ///< Destroyed later by ended_timer_.
     TimerHandle ended_timer_;
+    bool has_uncopied_leaves_ = false;  ///< Since the last whenLeavesCopied().
     bool is_stopping_ = false;
     TimePoint stop_started_{};
     std::function<void()> drained_;
--- a/tests/unit/fleet/gossip_test.cc
+++ b/tests/unit/fleet/gossip_test.cc
@@ -167,13 +167,13 @@
 BOOST_FIXTURE_TEST_CASE(a_change_reaches_a_fleet_for_a_few_messages_a_node, FleetFixture) {
     wire::InstanceRecord instance;
     instance.set_id("i1");
-    nodes[0]->directory.updateSelf(instance, false);
+    nodes[0]->directory.updateSelf(instance, {}, false);
     time.advance(1s);
     BOOST_TEST(countNodesWith("node-0", 1) >= kNodes * 0.97);
     BOOST_TEST(network.messages <= kNodes * 6);
     network.messages = 0;
     for (int i = 1; i <= 40; ++i) {
-        nodes[static_cast<std::size_t>(i)]->directory.updateSelf(instance, false);
+        nodes[static_cast<std::size_t>(i)]->directory.updateSelf(instance, {}, false);
     }
     time.advance(1500ms);
     for (int i = 1; i <= 40; ++i) {
@@ -186,7 +186,7 @@
 BOOST_FIXTURE_TEST_CASE(exchanges_bring_what_rumors_have_missed, FleetFixture) {
     wire::InstanceRecord instance;
     instance.set_id("i1");
-    nodes[0]->directory.updateSelf(instance, false);
+    nodes[0]->directory.updateSelf(instance, {}, false);
     for (const auto& node : nodes) {
         node->gossip.start();
     }
@@ -237,6 +237,60 @@
     }
 }
 
+/// Guards against a restarted node that does not learn what its earlier process has acknowledged to its instance,
+/// whichever side makes the first contact.
+BOOST_AUTO_TEST_CASE(a_restarted_node_is_told_of_its_former_leaves) {
+    for (const bool is_asking : {true, false}) {
+        const std::string name = is_asking ? "asking" : "asked";
+        auto former = recordOf(name);
+        former.add_leaves()->set_id("i1");
+        right.directory.merge(former);
+        Node restarted(name, time.clock, network);
+        auto present = recordOf(name);
+        present.set_incarnation(2);
+        restarted.directory.merge(present);  // Raises its incarnation, as the later clock of a restarted process does.
+        std::vector<std::string> recovered;
+        restarted.gossip.signalLeavesRecovered().connect([&](const std::vector<wire::InstanceLeave>& leaves) {
+            for (const auto& leave : leaves) {
+                recovered.push_back(leave.id());
+            }
+        });
+        if (is_asking) {
+            restarted.gossip.contact("right:1", [](bool) {});
+        } else {
+            right.gossip.probe(name, 300ms, [](bool) {});
+        }
+        time.advance(20ms);
+        BOOST_REQUIRE(!recovered.empty());
+        BOOST_TEST(recovered.front() == "i1");
+        network.nodes.erase(name + ":1");
+    }
+}
+
+/// Guards against an acknowledgement that only the acknowledging process knows of.
+BOOST_FIXTURE_TEST_CASE(copies_of_the_own_record_are_awaited, FleetFixture) {
+    auto& node = *nodes[0];
+    wire::InstanceLeave leave;
+    leave.set_id("i1");
+    node.directory.updateSelf({}, {leave}, false);
+    int copies = -1;
+    node.gossip.awaitCopies(2, 400ms, [&] { copies = countNodesWith("node-0", 1) - 1; });
+    time.advance(20ms);
+    BOOST_TEST(copies >= 2);
+}
+
+BOOST_AUTO_TEST_CASE(copies_are_not_awaited_beyond_the_limit_or_from_nobody) {
+    Node alone("alone", time.clock, network);
+    int done = 0;
+    alone.gossip.awaitCopies(2, 400ms, [&] { ++done; });
+    BOOST_TEST(done == 1);
+    left.gossip.awaitCopies(1, 400ms, [&] { ++done; });  // Nothing is sent, so that nothing is confirmed.
+    time.advance(399ms);
+    BOOST_TEST(done == 1);
+    time.advance(2ms);
+    BOOST_TEST(done == 2);
+}
+
 /// Guards against a table age that is derived from a request, since a request may have been delayed for any time.
 BOOST_AUTO_TEST_CASE(only_responses_report_the_table_age) {
     right.lease.onRead(time.clock.now());
--- a/tests/unit/fleet/node_directory_test.cc
+++ b/tests/unit/fleet/node_directory_test.cc
@@ -46,6 +46,46 @@
     BOOST_TEST(directory.self().incarnation() == 9U);
 }
 
+// Leaves in records of earlier processes ----------------------------------------
+
+wire::NodeRecord recordWithLeaves(std::uint64_t incarnation, std::uint64_t sequence,
+                                  const std::vector<std::string>& ids) {
+    auto record = recordOf("a", incarnation, sequence);
+    for (const auto& id : ids) {
+        record.add_leaves()->set_id(id);
+    }
+    return record;
+}
+
+/// Guards against a leave that is forgotten with the process that acknowledged it, also if the node restarts twice.
+BOOST_AUTO_TEST_CASE(leaves_of_earlier_processes_are_kept_until_the_present_one_has_them) {
+    directory.merge(recordWithLeaves(1, 4, {"i1", "i2"}));
+    BOOST_TEST(directory.formerLeaves("a").empty());
+    directory.merge(recordWithLeaves(2, 0, {}));
+    BOOST_TEST(directory.formerLeaves("a").size() == 2U);
+    directory.merge(recordWithLeaves(3, 0, {"i3"}));
+    BOOST_TEST(directory.formerLeaves("a").size() == 2U);
+    directory.merge(recordWithLeaves(3, 1, {"i3", "i2"}));
+    BOOST_REQUIRE(directory.formerLeaves("a").size() == 1U);
+    BOOST_TEST(directory.formerLeaves("a").front().id() == "i1");
+    directory.merge(recordWithLeaves(3, 2, {"i3", "i2", "i1"}));
+    BOOST_TEST(directory.formerLeaves("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_message_shows_a_restart_before_the_record_does) {
+    directory.merge(recordWithLeaves(1, 4, {"i1"}));
+    BOOST_TEST(!directory.onIncarnationSeen("a", 1));
+    BOOST_TEST(directory.formerLeaves("a").empty());
+    BOOST_TEST(directory.onIncarnationSeen("a", 2));
+    BOOST_TEST(!directory.onIncarnationSeen("a", 2));
+    BOOST_TEST(directory.formerLeaves("a").size() == 1U);
+    BOOST_TEST(!directory.onIncarnationSeen("unknown", 2));
+    for (std::uint64_t incarnation = 2; incarnation < 100; ++incarnation) {
+        directory.merge(recordWithLeaves(incarnation, 0, {"i" + std::to_string(incarnation)}));
+    }
+    BOOST_TEST(directory.formerLeaves("a").size() <= fleet::kMaxFormerLeaves);
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_contact_makes_a_node_suspected_until_it_is_reached) {
     std::vector<std::string> reported;
     directory.signalSuspected().connect([&](const std::string& name) { reported.push_back(name); });
@@ -78,7 +118,7 @@
     BOOST_TEST(directory.hash() != other.hash());
     other.merge(recordOf("a", 1, 2));
     BOOST_TEST(directory.hash() == other.hash());
-    other.updateSelf({}, true);
+    other.updateSelf({}, {}, true);
     BOOST_TEST(directory.hash() != other.hash());
 }
 
--- a/tests/unit/instance/local_instance_test.cc
+++ b/tests/unit/instance/local_instance_test.cc
@@ -161,6 +161,51 @@
     BOOST_TEST(!local.onHeartbeat(beatWithStart("i9990", 9990, 2)));
 }
 
+/// Guards against a delayed heartbeat of a former instance that takes the living one out of service.
+BOOST_AUTO_TEST_CASE(an_incarnation_that_is_leaving_does_not_replace_a_ready_one) {
+    local.onHeartbeat(beat("new", 1));
+    BOOST_TEST(!local.onHeartbeat(beat("old", 7, true)));
+    BOOST_TEST(local.acceptsCallsFor("new"));
+    BOOST_TEST(local.leaves().size() == 1U);
+    local.onUnreachable();
+    BOOST_TEST(local.onHeartbeat(beat("old", 8, true)));
+    BOOST_TEST((local.record().state() == wire::INSTANCE_DRAINING));
+}
+
+// Leaves that an earlier process has acknowledged -------------------------------
+
+/// Guards against a restarted node that takes a late heartbeat for news of an instance that has left.
+BOOST_AUTO_TEST_CASE(recovered_leaves_hold_before_and_after_the_first_heartbeat) {
+    instance::LocalInstance former{time.clock, 8s};
+    former.onHeartbeat(beatWithStart("i1", 100, 4));
+    former.onLeave("i1", 100);
+    former.onHeartbeat(beatWithStart("i2", 200, 3, true));
+    int changes = 0;
+    local.signalLeavesChanged().connect([&] { ++changes; });
+    local.onHeartbeat(beatWithStart("i2", 200, 2));
+    BOOST_TEST(local.acceptsCallsFor("i2"));
+    BOOST_TEST(local.restoreLeaves(former.leaves()));
+    BOOST_TEST(changes == 1);
+    BOOST_TEST((local.record().state() == wire::INSTANCE_DRAINING));
+    BOOST_TEST(!local.onHeartbeat(beatWithStart("i1", 100, 5)));
+    BOOST_TEST(!local.restoreLeaves(former.leaves()));
+    BOOST_TEST(local.leaves().size() == 2U);
+    local.onHeartbeat(beatWithStart("i2", 300, 1));
+    BOOST_TEST(local.acceptsCallsFor("i2"));
+}
+
+/// A draining incarnation that leaves then is reported once, as one that has left; the latest ones are reported.
+BOOST_AUTO_TEST_CASE(the_number_of_reported_leaves_is_bounded) {
+    for (std::uint64_t count = 1; count <= 100; ++count) {
+        local.onHeartbeat(beatWithStart("i" + std::to_string(count), count, 1, true));
+        local.onLeave("i" + std::to_string(count), count);
+    }
+    const auto leaves = local.leaves();
+    BOOST_REQUIRE(leaves.size() == instance::kMaxReportedLeaves);
+    BOOST_TEST(leaves.back().id() == "i100");
+    BOOST_TEST(leaves.back().has_left());
+}
+
 // Guards against a heartbeat that still says ready after a response has said that the instance is leaving.
 BOOST_AUTO_TEST_CASE(an_instance_that_is_leaving_is_not_made_ready_by_its_heartbeats) {
     local.onHeartbeat(beatWithStart("i1", 100, 4));
