End a stop when responses are delivered, and time out no reading client

Cause: a response counted as sent when it was queued, by the node's stop and by the timeouts of its connection. Evidence: node_idle in_flight=0 after_ms=2501 with five downloads being read, then node_stopped; exit 0. Ruled out: a crash, the platform's kill. Change: a response is delivered when the client's host has acknowledged it. The stop waits for that, at the servers of callers and of nodes, up to its limit; node_idle says delivered=yes or no. No timeout but the write timeout runs while bytes are unsent; neither the idle nor the closing one closes a connection while some are unacknowledged. After the drain time a connection that still delivers takes no further request.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -126,15 +126,15 @@
         return;
     }
     callers_.closeAfterResponses();
-    node_.stop(
-        [this] {
-            callers_.stopAccepting();
-            callers_.closeIdleConnections();
-        },
-        [this] {
-            callers_.closeIdleConnections();
-            flush_timer_ = loop_.startTimer(kFlushTime, [this] { loop_.stop(); });
-        });
+    node_.stop({[this] {
+                    callers_.stopAccepting();
+                    callers_.closeIdleConnections();
+                },
+                [this] { return callers_.hasDeliveredAll() && node_server_.hasDeliveredAll(); },
+                [this] {
+                    callers_.closeIdleConnections();
+                    flush_timer_ = loop_.startTimer(kFlushTime, [this] { loop_.stop(); });
+                }});
 }
 
 /// Reads the settings again and logs whether they changed; addresses and names take effect at the next start. Keeps all
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -259,11 +259,12 @@
     if (machine.node == nullptr || machine.node->isStopping()) {
         return;
     }
-    machine.node->stop([this, index] { network_.stopAccepting(machines_[index]->caller_address); },
-                       [this, index] {
-                           queue_.schedule(queue_.now() + kFlushTime, nullptr, [this, index] { endNode(index); });
-                           queue_.schedule(queue_.now() + kRestartDelay, nullptr, [this, index] { startNode(index); });
-                       });
+    machine.node->stop({[this, index] { network_.stopAccepting(machines_[index]->caller_address); },
+                        [] { return true; },  // The model's connections deliver a reply at once.
+                        [this, index] {
+                            queue_.schedule(queue_.now() + kFlushTime, nullptr, [this, index] { endNode(index); });
+                            queue_.schedule(queue_.now() + kRestartDelay, nullptr, [this, index] { startNode(index); });
+                        }});
 }
 
 void SidecarFleet::suspendMachine(std::size_t index, Duration duration) {
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -99,12 +100,15 @@
 void HttpServer::closeIdleConnections() {
     const auto connections = connections_;
     for (auto* connection : connections) {
-        if (connection->isIdle()) {
-            connection->close();
-        }
+        connection->closeWhenIdle();
     }
 }
 
+bool HttpServer::hasDeliveredAll() const {
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto* connection) { return connection->isIdle(); });
+}
+
 void HttpServer::destroyLater(ServerConnection* connection) {
     connections_.erase(connection);
     to_destroy_.emplace_back(connection);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -76,8 +76,11 @@
     /// Closes each connection after its next response, or after the last one if requests are pipelined; a request behind
     /// a pending one is not taken any more. New connections are still accepted.
     void closeAfterResponses() { close_after_response_ = true; }
-    /// Closes the connections without a pending response. Bytes that they have sent meanwhile are not read.
+    /// Closes the connections without a pending response; bytes that they have sent meanwhile are not read. The others
+    /// take no further request, and close once their clients have the pending responses.
     void closeIdleConnections();
+    /// @return true if no request waits for its response, and the hosts of all clients have received what was sent.
+    [[nodiscard]] bool hasDeliveredAll() const;
     /// Stops listening, and closes each open connection like `closeAfterResponses`.
     void stopAccepting();
     [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -32,7 +32,22 @@
 }
 
 bool ServerConnection::isIdle() const {
-    return pending_.empty() && stream_.unsentBytes() == 0;
+    return pending_.empty() && stream_.unacknowledgedBytes() == 0;
+}
+
+void ServerConnection::closeWhenIdle() {
+    if (isIdle()) {
+        close();
+        return;
+    }
+    stopReading();
+    close_after_response_ = true;
+    close_after_write_ = close_after_write_ || pending_.empty();
+    shutdownIfWritten();
+}
+
+bool ServerConnection::closesAfterResponse() const {
+    return server_.close_after_response_ || close_after_response_;
 }
 
 void ServerConnection::close() {
@@ -83,7 +98,7 @@
 /// A connection that closes after its pending responses takes no request behind them. The last response announces the
 /// close, so that the client sends again what came behind it.
 bool ServerConnection::readsRequests() {
-    if (server_.close_after_response_ && !pending_.empty()) {
+    if (closesAfterResponse() && !pending_.empty()) {
         stopReading();
     }
     return !is_closed_ && !is_reading_done_ && pending_.size() < kMaxPipelined;
@@ -149,7 +164,7 @@
         exchange->connection_ = nullptr;
         // The requests behind it were taken already, so only the last response may close the connection.
         const bool close_connection =
-            pending_.empty() && pending_error_status_ == 0 && (server_.close_after_response_ || !exchange->keep_alive_);
+            pending_.empty() && pending_error_status_ == 0 && (closesAfterResponse() || !exchange->keep_alive_);
         writeResponse(*exchange, close_connection);
         if (close_connection) {
             stopReading();
@@ -180,19 +195,27 @@
     stream_.write(head, sends_body ? std::string_view(response.body) : std::string_view());
 }
 
+void ServerConnection::onWritten() {
+    shutdownIfWritten();
+    updateDeadline();
+}
+
 /// The client may still be sending. Closing the socket with unread bytes would reset the connection and could lose the
 /// response, so only the sending side is shut down; further input is read and discarded.
 void ServerConnection::shutdownIfWritten() {
     if (close_after_write_ && stream_.unsentBytes() == 0) {
         stream_.closeWriting();
-        updateDeadline();
     }
 }
 
+/// A client may take any time to read a response as long as it goes on reading; the write timeout of the stream covers
+/// one that does not.
 void ServerConnection::updateDeadline() {
     const bool in_head = parser_.hasStarted() && !parser_.hasCompleteHead();
-    if (!pending_.empty() && !parser_.hasStarted()) {
+    const bool is_awaiting_handler = !pending_.empty() && !parser_.hasStarted();
+    if (is_awaiting_handler || stream_.unsentBytes() > 0) {
         deadline_.reset();
+        is_head_timed_ = false;
         return;
     }
     if (in_head && is_head_timed_) {
@@ -220,6 +243,8 @@
     }
     if (server_.loop_.now() < *deadline_) {
         startTimer();
+    } else if (pending_.empty() && !parser_.hasStarted() && !isIdle()) {
+        updateDeadline();  // The client's host has not received all of the last response yet.
     } else {
         close();
     }
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -22,15 +22,19 @@
 
     /// Called when an exchange has its response: writes the responses at the head of the queue.
     void onReplied();
-    /// @return true if no request waits for its response and no response is being written.
+    /// @return true if no request waits for its response, and the client's host has all responses. False if it has gone
+    /// silent, until the connection times out.
     [[nodiscard]] bool isIdle() const;
+    /// Takes no further request, and closes once the client's host has the responses to those that were taken.
+    void closeWhenIdle();
     /// Closes at once, and runs the disconnect callbacks of pending exchanges. The loop destroys this object later.
     void close();
 
 private:
     std::size_t onBytes(std::string_view bytes) override;
-    void onWritten() override { shutdownIfWritten(); }
+    void onWritten() override;
     void onClosed(CloseReason) override { close(); }
+    [[nodiscard]] bool closesAfterResponse() const;
     /// @return whether the next bytes may be a request that is taken.
     bool readsRequests();
     /// Drops a request that was read in part, and discards all further bytes.
@@ -54,7 +58,7 @@
     SocketStream stream_;
     HttpMessageParser parser_;
     std::deque<std::shared_ptr<ServerExchange>> pending_;  ///< Requests without a written response, oldest first.
-    std::optional<TimePoint> deadline_;  ///< When the connection times out; none while only the handler is awaited.
+    std::optional<TimePoint> deadline_;  ///< When the connection times out; none while a response is awaited or written.
     TimePoint timer_expiry_{};           ///< When `timer_` fires: not later than `deadline_`.
     TimerHandle timer_;
     TimerHandle redeliver_timer_;  ///< Parses or discards unconsumed bytes when a response was written.
@@ -62,7 +66,8 @@
     bool continue_sent_ = false;   ///< "100 Continue" was sent for the current request.
     bool is_closed_ = false;
     bool is_reading_done_ = false;    ///< No further request is read; received bytes are discarded.
-    bool close_after_write_ = false;  ///< The last response was queued.
+    bool close_after_response_ = false;  ///< As that of the server, for this connection.
+    bool close_after_write_ = false;     ///< The last response was queued.
     int pending_error_status_ = 0;    ///< Status of the response to a rejected request; 0: none.
 };
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -449,14 +449,13 @@
 
 // Stop ---------------------------------------------------------------------
 
-void SidecarNode::stop(std::function<void()> drained, std::function<void()> done) {
+void SidecarNode::stop(StopCallbacks callbacks) {
     if (is_stopping_) {
         return;
     }
     is_stopping_ = true;
     stop_started_ = ports_.clock.now();
-    drained_ = std::move(drained);
-    done_ = std::move(done);
+    stop_callbacks_ = std::move(callbacks);
     ports_.log.write(Event("node_stopping").with("in_flight", inFlight()));
     relay_.stop(stop_started_ + settings_.knobs.max_stop_time - kStopCheckInterval);
     shard_lease_manager_.release();
@@ -468,16 +467,21 @@
 }
 
 void SidecarNode::onDrained() {
-    drained_();
+    stop_callbacks_.drained();
     relay_.close();
     checkStopped();
 }
 
 void SidecarNode::checkStopped() {
     const auto elapsed = ports_.clock.now() - stop_started_;
-    if (inFlight() == 0 || settings_.knobs.disabled.shutdown_wait || elapsed >= settings_.knobs.max_stop_time) {
-        ports_.log.write(Event("node_idle").with("in_flight", inFlight()).with("after_ms", toMilliseconds(elapsed)));
-        done_();
+    const bool has_delivered = stop_callbacks_.has_delivered();
+    const bool is_idle = inFlight() == 0 && has_delivered;
+    if (is_idle || settings_.knobs.disabled.shutdown_wait || elapsed >= settings_.knobs.max_stop_time) {
+        ports_.log.write(Event("node_idle")
+                             .with("in_flight", inFlight())
+                             .with("delivered", has_delivered ? "yes" : "no")
+                             .with("after_ms", toMilliseconds(elapsed)));
+        stop_callbacks_.done();
         return;
     }
     stop_timer_ = ports_.clock.startTimer(kStopCheckInterval, [this] { checkStopped(); });
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -51,6 +51,13 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t> wasted_executions;
 };
 
+/// What a graceful shutdown needs of the owner of the node, who has the connections.
+struct StopCallbacks {
+    std::function<void()> drained;        ///< Called after the drain time: no further request may be passed to the node.
+    std::function<bool()> has_delivered;  ///< @return whether the peers have received all replies.
+    std::function<void()> done;           ///< Called once, when the shutdown has ended.
+};
+
 /// Wires all parts of a node together. Owns no socket, clock or thread; all calls come from one event loop.
 ///
 /// Log events:
@@ -62,7 +69,8 @@
 ///   node_silent           the failure detector has found the node `peer` unresponsive
 ///   machine_suspended     the host has resumed after a suspension of `for_ms` milliseconds
 ///   node_stopping         a graceful shutdown has started
-///   node_idle             the shutdown has ended, with `in_flight` calls unfinished
+///   node_idle             the shutdown has ended, with `in_flight` calls unfinished; `delivered` shows whether all
+///                         replies were received
 class SidecarNode {
 public:
     using CallId = std::uint64_t;
@@ -95,9 +103,9 @@
     /// The host has resumed after it was suspended for this time.
     void onHostResumed(Duration suspended);
 
-    /// Starts a graceful shutdown. Calls `drained` after the drain time, from when on no further request may be passed
-    /// to the node; then `done` once no call is in flight, or after the maximum stop time.
-    void stop(std::function<void()> drained, std::function<void()> done);
+    /// Starts a graceful shutdown. It ends once no call is in flight and all replies are delivered, or after the maximum
+    /// stop time.
+    void stop(StopCallbacks callbacks);
 
     /// @return true if this node can take calls: it has a table, has joined the fleet and is not stopping.
     [[nodiscard]] bool isReady() const;
@@ -193,8 +201,7 @@
     bool has_uncopied_leaves_ = false;  ///< Since the last whenLeavesCopied().
     bool is_stopping_ = false;
     TimePoint stop_started_{};
-    std::function<void()> drained_;
-    std::function<void()> done_;
+    StopCallbacks stop_callbacks_;
     TimerHandle stop_timer_;
 };
 
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
 #include <string>
@@ -14,6 +15,11 @@
 
 namespace {
 
+constexpr std::size_t kLargeBody = std::size_t{12} * 1024 * 1024;  ///< More than the buffers of both sockets.
+constexpr int kReceiveBuffer = 64 * 1024;
+/// Longer than the server's timeouts.
+constexpr Duration kReadTime = 2500ms;
+
 struct ServerFixture : tests::LoopFixture {
     ServerFixture() {
         runOrReport(
@@ -24,8 +30,12 @@
             [](const StepError& error) { BOOST_FAIL(error.text()); });
     }
 
-    int connect() const {
+    /// @param receive_buffer size of the socket's buffer in bytes; 0: the system's choice.
+    int connect(int receive_buffer = 0) const {
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if (receive_buffer > 0) {
+            setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        }
         sockaddr_in target{};
         target.sin_family = AF_INET;
         target.sin_port = htons(address.port);
@@ -51,6 +61,36 @@
         return response.substr(0, response.find("\r\n"));
     }
 
+    /// @return a connection with a small buffer, whose request waits for its response.
+    int requestLargeBody() {
+        const auto before = pending.size();
+        const int descriptor = connect(kReceiveBuffer);
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        BOOST_REQUIRE(write(descriptor, request.data(), request.size()) > 0);
+        runUntil([&] { return pending.size() > before; });
+        return descriptor;
+    }
+    /// Reads kLargeBody bytes at an even pace. @return the number of bytes until the server closed, or has sent them.
+    std::size_t readSlowly(int descriptor, Duration time) {
+        const auto started = loop.now();
+        std::vector<char> buffer(kLargeBody);
+        std::size_t total = 0;
+        bool is_closed = false;
+        runUntil([&] {
+            const auto share = static_cast<double>((loop.now() - started).count()) / static_cast<double>(time.count());
+            const auto allowed = static_cast<std::size_t>(share * static_cast<double>(kLargeBody));
+            while (!is_closed && total < allowed) {
+                const auto count = recv(descriptor, buffer.data(), std::min(allowed - total, buffer.size()), MSG_DONTWAIT);
+                if (count < 0 && errno == EAGAIN) {
+                    break;
+                }
+                is_closed = count <= 0;
+                total += count > 0 ? static_cast<std::size_t>(count) : 0;
+            }
+            return is_closed || total >= kLargeBody;
+        });
+        return total;
+    }
     /// Runs the loop until the server closes the connection. @return what it has sent.
     std::string readToEnd(int descriptor) {
         std::string text;
@@ -259,6 +299,42 @@
     BOOST_TEST(received == 2);
 }
 
+// Clients that read slowly ------------------------------------------------------
+
+/// Guards against a response that ends early since its connection is closed some time after the response was queued: by
+/// the idle timeout, or by the timeout of a connection that closes.
+BOOST_AUTO_TEST_CASE(a_connection_stays_open_while_its_client_reads) {
+    reply_at_once = false;
+    for (const bool is_stopping : {false, true}) {
+        const int descriptor = requestLargeBody();
+        if (is_stopping) {
+            server.closeAfterResponses();
+        }
+        pending.back()->reply(okResponse(std::string(kLargeBody, 'x')));
+        BOOST_TEST(readSlowly(descriptor, kReadTime) >= kLargeBody, (is_stopping ? "stopping" : "kept"));
+        close(descriptor);
+    }
+}
+
+/// Guards against a stop that takes a response for delivered once it is queued, and against one that takes requests
+/// meanwhile.
+BOOST_AUTO_TEST_CASE(a_response_counts_as_delivered_when_the_client_has_it) {
+    reply_at_once = false;
+    BOOST_TEST(server.hasDeliveredAll());
+    const int descriptor = requestLargeBody();
+    BOOST_TEST(!server.hasDeliveredAll());
+    pending.back()->reply(okResponse(std::string(kLargeBody, 'x')));
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE(write(descriptor, request.data(), request.size()) > 0);
+    server.closeIdleConnections();
+    BOOST_TEST(!server.hasDeliveredAll());
+    BOOST_TEST(readSlowly(descriptor, 200ms) >= kLargeBody);
+    runUntil([&] { return server.hasDeliveredAll(); });
+    BOOST_TEST(received == 1);
+    close(descriptor);
+    runUntil([&] { return server.openConnections() == 0; });
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_server_closes_after_the_response_and_accepts_no_connection) {
     reply_at_once = false;
     const int descriptor = connect();
