--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -131,21 +131,21 @@
             acknowledged();
         });
     };
-    const NodeLink link{[target, acknowledge](const instance::Heartbeat& heartbeat, const std::string& incarnation,
-                                              const NodeLink::Acknowledged& acknowledged) {
-                            if (target->node != nullptr && target->host->isUp()) {
-                                target->node->onHeartbeat(heartbeat);
-                                acknowledge(incarnation, heartbeat.is_draining, acknowledged);
-                            }
-                        },
-                        [target, acknowledge](const std::string& id, std::uint64_t start_ms,
-                                              const std::string& incarnation,
-                                              const NodeLink::Acknowledged& acknowledged) {
-                            if (target->node != nullptr && target->host->isUp()) {
-                                target->node->onInstanceLeave(id, start_ms);
-                                acknowledge(incarnation, true, acknowledged);
-                            }
-                        }};
+    const NodeLink link{
+        [target, acknowledge](const instance::Heartbeat& heartbeat, const std::string& incarnation,
+                              const NodeLink::Acknowledged& acknowledged) {
+            if (target->node != nullptr && target->host->isUp()) {
+                target->node->onHeartbeat(heartbeat);
+                acknowledge(incarnation, heartbeat.is_draining, acknowledged);
+            }
+        },
+        [target, acknowledge](const std::string& id, std::uint64_t start_ms, const std::string& incarnation,
+                              const NodeLink::Acknowledged& acknowledged) {
+            if (target->node != nullptr && target->host->isUp()) {
+                target->node->onInstanceLeave(id, start_ms);
+                acknowledge(incarnation, true, acknowledged);
+            }
+        }};
     machine->instance =
         std::make_unique<SidecarInstance>(queue_, network_, random_, zoneOf(address_index), machine->instance_address,
                                           machine->caller_address, link, records_);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -73,8 +73,8 @@
     Result<SocketAddress> listen(const SocketAddress& address);
     /// Sets the size limits of new connections, and the timeouts that are started from now on.
     void setLimits(HttpLimits limits, ServerTimeouts timeouts);
-    /// Closes each connection after its next response, or after the last one if requests are pipelined; a request behind
-    /// a pending one is not taken any more. New connections are still accepted.
+    /// Closes each connection after its next response, or after the last one if requests are pipelined; a request
+    /// behind a pending one is not taken any more. New connections are still accepted.
     void closeAfterResponses() { close_after_response_ = true; }
     /// Closes the connections without a pending response; bytes that they have sent meanwhile are not read. The others
     /// take no further request, and close once their clients have the pending responses.
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -58,17 +58,18 @@
     SocketStream stream_;
     HttpMessageParser parser_;
     std::deque<std::shared_ptr<ServerExchange>> pending_;  ///< Requests without a written response, oldest first.
-    std::optional<TimePoint> deadline_;  ///< When the connection times out; none while a response is awaited or written.
-    TimePoint timer_expiry_{};           ///< When `timer_` fires: not later than `deadline_`.
+    std::optional<TimePoint>
+        deadline_;              ///< When the connection times out; none while a response is awaited or written.
+    TimePoint timer_expiry_{};  ///< When `timer_` fires: not later than `deadline_`.
     TimerHandle timer_;
     TimerHandle redeliver_timer_;  ///< Parses or discards unconsumed bytes when a response was written.
     bool is_head_timed_ = false;   ///< `deadline_` is the header timeout of the current request.
     bool continue_sent_ = false;   ///< "100 Continue" was sent for the current request.
     bool is_closed_ = false;
-    bool is_reading_done_ = false;    ///< No further request is read; received bytes are discarded.
+    bool is_reading_done_ = false;       ///< No further request is read; received bytes are discarded.
     bool close_after_response_ = false;  ///< As that of the server, for this connection.
     bool close_after_write_ = false;     ///< The last response was queued.
-    int pending_error_status_ = 0;    ///< Status of the response to a rejected request; 0: none.
+    int pending_error_status_ = 0;       ///< Status of the response to a rejected request; 0: none.
 };
 
 }  // namespace dewcrank::adapters
--- a/src/instance/heartbeat_check.cc
+++ b/src/instance/heartbeat_check.cc
@@ -35,8 +35,7 @@
 
 void HeartbeatCheck::onHeartbeat(const Heartbeat& heartbeat, bool is_known) {
     const bool is_checked = is_known || heartbeat.is_draining || heartbeat.sequence <= kFirstSequence;
-    const bool continues =
-        nameOf(heartbeat) == contradicted_ && clock_.now() - contradicted_at_ >= knobs_.min_interval;
+    const bool continues = nameOf(heartbeat) == contradicted_ && clock_.now() - contradicted_at_ >= knobs_.min_interval;
     if (is_checked || continues) {
         accept_(heartbeat);
         return;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -53,7 +53,7 @@
 
 /// What a graceful shutdown needs of the owner of the node, who has the connections.
 struct StopCallbacks {
-    std::function<void()> drained;        ///< Called after the drain time: no further request may be passed to the node.
+    std::function<void()> drained;  ///< Called after the drain time: no further request may be passed to the node.
     std::function<bool()> has_delivered;  ///< @return whether the peers have received all replies.
     std::function<void()> done;           ///< Called once, when the shutdown has ended.
 };
@@ -97,14 +97,14 @@
     bool onHeartbeat(const instance::Heartbeat& heartbeat);
     /// The instance deregisters. @param start_ms start time of its incarnation in milliseconds; 0: not given.
     void onInstanceLeave(const std::string& id, std::uint64_t start_ms = 0);
-    /// Waits until other nodes know the leaves that the instance has announced: an acknowledged one is binding, also for
-    /// the next process of this node. @param done called once, within `leave_copy_limit`; at once if all are known.
+    /// Waits until other nodes know the leaves that the instance has announced: an acknowledged one is binding, also
+    /// for the next process of this node. @param done called once, within `leave_copy_limit`; at once if all are known.
     void whenLeavesCopied(std::function<void()> done);
     /// The host has resumed after it was suspended for this time.
     void onHostResumed(Duration suspended);
 
-    /// Starts a graceful shutdown. It ends once no call is in flight and all replies are delivered, or after the maximum
-    /// stop time.
+    /// Starts a graceful shutdown. It ends once no call is in flight and all replies are delivered, or after the
+    /// maximum stop time.
     void stop(StopCallbacks callbacks);
 
     /// @return true if this node can take calls: it has a table, has joined the fleet and is not stopping.
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -80,7 +80,8 @@
             const auto share = static_cast<double>((loop.now() - started).count()) / static_cast<double>(time.count());
             const auto allowed = static_cast<std::size_t>(share * static_cast<double>(kLargeBody));
             while (!is_closed && total < allowed) {
-                const auto count = recv(descriptor, buffer.data(), std::min(allowed - total, buffer.size()), MSG_DONTWAIT);
+                const auto count =
+                    recv(descriptor, buffer.data(), std::min(allowed - total, buffer.size()), MSG_DONTWAIT);
                 if (count < 0 && errno == EAGAIN) {
                     break;
                 }
--- a/tests/simulation/instance_leaves_test.cc
+++ b/tests/simulation/instance_leaves_test.cc
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr Duration kServesOn = 14s;       ///< From the announcement of an instance until it ends.
-constexpr Duration kLateAfter = 2500ms;   ///< Delay of its last heartbeat, which says that it is ready.
+constexpr Duration kServesOn = 14s;      ///< From the announcement of an instance until it ends.
+constexpr Duration kLateAfter = 2500ms;  ///< Delay of its last heartbeat, which says that it is ready.
 constexpr Duration kRestartDelay = 500ms;
-constexpr std::size_t kLeaving = 1;       ///< Machine with an instance of "browse".
+constexpr std::size_t kLeaving = 1;  ///< Machine with an instance of "browse".
 constexpr double kRequestsPerSecond = 120;
 
 using Fault = std::function<void(sim::SidecarFleet&)>;
@@ -43,9 +43,7 @@
     {"its node is killed 100 ms later",
      [](sim::SidecarFleet& fleet) { fleet.after(100ms, [&fleet] { killFor(fleet, kLeaving, kRestartDelay); }); }},
     {"its node is killed just before the late heartbeat",
-     [](sim::SidecarFleet& fleet) {
-         fleet.after(kLateAfter - 20ms, [&fleet] { killFor(fleet, kLeaving, 10ms); });
-     }},
+     [](sim::SidecarFleet& fleet) { fleet.after(kLateAfter - 20ms, [&fleet] { killFor(fleet, kLeaving, 10ms); }); }},
     {"its node is killed twice",
      [](sim::SidecarFleet& fleet) {
          killFor(fleet, kLeaving, kRestartDelay);
@@ -100,8 +98,8 @@
     fleet.runFor(18s);
     BOOST_TEST((fleet.instance(kLeaving).drainAcknowledged() != TimePoint{}), leave.fault << ", seed " << leave.seed);
     for (const auto& violation : fleet.violations()) {
-        BOOST_TEST(false, leave.fault << ", seed " << leave.seed << ": " << violation.invariant << ": "
-                                      << violation.detail);
+        BOOST_TEST(false,
+                   leave.fault << ", seed " << leave.seed << ": " << violation.invariant << ": " << violation.detail);
     }
     BOOST_TEST(fleet.countResponses(200) > 1000U, leave.fault << ", seed " << leave.seed);
 }
--- a/tests/unit/instance/heartbeat_check_test.cc
+++ b/tests/unit/instance/heartbeat_check_test.cc
@@ -53,12 +53,9 @@
     tests::VirtualTime time;
     FakeInstance instance{time.clock};
     std::vector<std::uint64_t> accepted;  ///< Sequence numbers.
-    instance::HeartbeatCheck check{time.clock,
-                                   instance,
-                                   {},
-                                   kAddress,
-                                   [this](const instance::Heartbeat& it) { accepted.push_back(it.sequence); },
-                                   {}};
+    instance::HeartbeatCheck check{
+        time.clock, instance, {}, kAddress, [this](const instance::Heartbeat& it) { accepted.push_back(it.sequence); },
+        {}};
     void expect(const std::vector<std::uint64_t>& expected, const std::string& what) {
         time.advance(300ms);
         BOOST_TEST(accepted == expected, what);
