Refuse heartbeats whose id is not UTF-8

What callers saw: nothing yet. Cause: the id comes from the path and was not checked; protobuf refuses to parse strings that are not UTF-8. Change: requireText() refuses it by the name of the field; 400.

--- a/src/adapters/json_fields.cc
+++ b/src/adapters/json_fields.cc
@@ -19,6 +19,19 @@
     throw std::invalid_argument(field + ": " + expected + " is expected");
 }
 
+std::string requireText(const char* field, std::string_view text) {
+    std::string copy(text);
+    try {
+        static_cast<void>(nlohmann::json(copy).dump());  // Throws for bytes that are not UTF-8.
+    } catch (const nlohmann::json::type_error&) {
+        throwFieldError(field, "a text in UTF-8");
+    }
+    if (copy.empty()) {
+        throwFieldError(field, "a text");
+    }
+    return copy;
+}
+
 const nlohmann::json& requireObject(const nlohmann::json& parent, const char* field) {
     const auto& value = requireField(parent, field);
     if (!value.is_object()) {
--- a/src/adapters/json_fields.h
+++ b/src/adapters/json_fields.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,8 @@
 
 /// Throws std::invalid_argument with the name of the field and the expected value, as all require functions do.
 [[noreturn]] void throwFieldError(const std::string& field, const char* expected);
+/// @return the text, which is no part of a document; one that is empty or not UTF-8 is an error.
+std::string requireText(const char* field, std::string_view text);
 /// @return the object in a field.
 const nlohmann::json& requireObject(const nlohmann::json& parent, const char* field);
 /// @return the string in a field; an empty string is an error.
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -281,6 +281,11 @@
         }
     }
     BOOST_TEST(requests.handle(post("/dewcrank/Instances.Heartbeat/", valid.dump()), listener).status == 400);
+    // Guards against an id that makes this node's record unreadable for other nodes.
+    const auto unreadable = requests.handle(post("/dewcrank/Instances.Heartbeat/i-\xff\xfe", valid.dump()), listener);
+    BOOST_TEST(unreadable.status == 400);
+    BOOST_TEST(unreadable.body.find("id: a text in UTF-8") != std::string::npos, unreadable.body);
+    BOOST_TEST(requests.handle(post("/dewcrank/Instances.Leave/i-\xff\xfe", "{}"), listener).status == 400);
 }
 
 BOOST_AUTO_TEST_CASE(a_leave_request_names_the_incarnation) {
