--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -99,6 +99,19 @@
     BOOST_TEST(table.limits().idle_timeout_ms() == 15000U);
 }
 
+/// Guards against a request of an unknown kind that is run again after a failure.
+BOOST_AUTO_TEST_CASE(only_safe_requests_and_downloads_are_repeatable) {
+    for (const auto& [kind, is_repeatable] : std::vector<std::pair<std::string, bool>>{
+             {"safe", true}, {"download", true}, {"unsafe", false}, {"new", false}}) {
+        auto document = nlohmann::json::parse(kDocument);
+        document["Routes"]["r1"]["Kind"] = kind;
+        const auto table = platform::readConfigDocument(document);
+        BOOST_TEST(table.routes(0).is_repeatable() == is_repeatable, kind);
+        const auto written = platform::writeConfigDocument(table, document);
+        BOOST_TEST(written["Routes"]["r1"]["Kind"] == kind);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(tenants_of_a_configuration_are_read_and_written_back) {
     auto document = nlohmann::json::parse(kDocument);
     document["Tenants"] = nlohmann::json::parse(
