--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -92,6 +92,10 @@
     return result;
 }
 
+void SidecarDaemon::ignoreReload() {
+    std::signal(SIGHUP, SIG_IGN);
+}
+
 Result<void> SidecarDaemon::listen() {
     BOOST_LEAF_CHECK(readiness_.listen(settings_.readiness));
     BOOST_LEAF_CHECK(node_server_.listen(settings_.nodes));
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -43,6 +43,8 @@
     /// @param settings_file path that is read again on SIGHUP.
     SidecarDaemon(adapters::SidecarSettings settings, std::string settings_file, const PlatformFactory& platform);
 
+    /// Ignores SIGHUP, which ends a process by default, until run() handles it.
+    static void ignoreReload();
     Result<void> listen();  ///< Binds all listeners; fails if an address is not available.
     void run();             ///< Runs until a graceful shutdown after SIGTERM or SIGINT has completed.
 
--- a/tests/process/command_line_test.sh
+++ b/tests/process/command_line_test.sh
@@ -56,6 +56,20 @@
 sed '/^name/d' "$work/node.toml" > "$work/short.toml"
 expect "missing key" 2 'name: is missing' "$node" --settings "$work/short.toml"
 expect "missing file" 2 'nowhere.toml' "$node" --settings "$work/nowhere.toml"
+# Guards against a node that is ended by a reload signal while it starts. It opens a pipe in place of its settings, which
+# holds it up until the signal was sent; then it says that it cannot read them.
+reload_while_starting() {
+    mkfifo "$work/settings.fifo"
+    "$node" --settings "$work/settings.fifo" &
+    local process=$! tries=0
+    until grep -q '^SigIgn:.*[13579bdf]$' "/proc/$process/status" || [ $((tries += 1)) = 200 ]; do
+        sleep 0.01
+    done
+    kill -HUP "$process"
+    exec 3<> "$work/settings.fifo"
+    wait "$process"
+}
+expect "a reload signal during the start is ignored" 2 "settings.fifo" reload_while_starting
 expect "unknown flag" 2 'flags:' "$node" --no-such-flag 1
 expect "no settings" 2 '--settings' "$node"
 sed 's/readiness = .*/readiness = "192.0.2.1:4"/' "$work/node.toml" > "$work/far.toml"
