--- a/sim/control_store.cc
+++ b/sim/control_store.cc
@@ -50,13 +50,12 @@
     return hosts;
 }
 
-void ControlStoreModel::silenceConnections() {
+void ControlStoreModel::silenceConnections(const std::function<bool(const Host&)>& matches) {
+    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
     for (const auto& weak : connections_) {
-        if (const auto connection = weak.lock()) {
-            connection->is_silent = true;
-        }
+        const auto connection = weak.lock();
+        connection->is_silent = connection->is_silent || !matches || matches(*connection->host);
     }
-    connections_.clear();
 }
 
 SimControlStore::ConnectionPtr SimControlStore::takeConnection() {
@@ -68,6 +67,7 @@
         return connection;
     }
     auto connection = std::make_shared<ControlStoreModel::Connection>();
+    connection->host = &host_;
     model_.connections_.push_back(connection);
     return connection;
 }
--- a/sim/control_store.h
+++ b/sim/control_store.h
@@ -36,7 +36,8 @@
     }
     /// Makes all open connections of nodes silent for good: open watches hear nothing any more, and calls on them get
     /// no response. New connections work.
-    void silenceConnections();
+    /// @param matches selects the hosts; empty: all.
+    void silenceConnections(const std::function<bool(const Host&)>& matches = {});
     /// Sets the time that each response takes.
     void setResponseTime(Duration time) { response_time_ = time; }
     /// Drops the change history: watches from earlier revisions get a response that makes them read again.
@@ -59,6 +60,7 @@
 
     /// A connection of a node to the store.
     struct Connection {
+        const Host* host = nullptr;
         TimePoint idle_since{};
         bool is_silent = false;       ///< Nothing arrives on it any more.
         bool is_replacement = false;  ///< It was opened for a read that an idle connection has lost.
