Grant no burst again after a restart of a quota shard's owner

Change: started_at_ is the start of the process; a lease of this process under its former incarnation ends now. Measured: unit_quota_shard_lease_manager green (not run on the former code: by reading, its first case grants the whole burst there). Conclusion: kept; after such a restart tokens accrue from the start.

--- a/src/quota/shard_lease_manager.cc
+++ b/src/quota/shard_lease_manager.cc
@@ -35,7 +35,14 @@
 
 ShardLeaseManager::ShardLeaseManager(Clock& clock, EventLog& log, ControlStore& store, fleet::NodeDirectory& directory,
                                      const policy::RouteTable& table, ShardLeaseManagerKnobs knobs)
-    : clock_(clock), log_(log), store_(store), directory_(directory), table_(table), knobs_(knobs) {}
+    : clock_(clock),
+      log_(log),
+      store_(store),
+      directory_(directory),
+      table_(table),
+      knobs_(knobs),
+      started_at_(clock.now()),
+      first_incarnation_(directory.self().incarnation()) {}
 
 void ShardLeaseManager::start() {
     timer_ = clock_.startTimer(knobs_.check_interval, [this] { checkOwners(); });
@@ -205,7 +212,8 @@
         return clock_.now();
     }
     if (record.holder == self.name() && record.incarnation < self.incarnation()) {
-        return started_at_;
+        const bool is_earlier_process = record.incarnation < first_incarnation_;
+        return is_earlier_process ? started_at_ : clock_.now();
     }
     const auto* node = directory_.find(record.holder);
     const bool has_restarted = node != nullptr && node->record.incarnation() > record.incarnation;
--- a/src/quota/shard_lease_manager.h
+++ b/src/quota/shard_lease_manager.h
@@ -103,9 +103,10 @@
     std::map<std::uint32_t, std::uint32_t> checks_without_owner_;  ///< Consecutive ones, by shard.
     bool is_confirmed_ = true;                                     ///< The last read of the leases has succeeded.
     sigc::signal<void(std::uint32_t, const std::string&)> signal_takeover_;
-    TimePoint started_at_;   ///< Of this process; an earlier incarnation granted nothing after it.
-    std::uint64_t era_ = 0;  ///< Store era at the last read; 0 if unknown.
-    TimePoint era_since_{};  ///< When this node first read it.
+    TimePoint started_at_;             ///< Of this process; an earlier one granted nothing after it.
+    std::uint64_t first_incarnation_;  ///< Of this process, which goes on under a later one if others remember that.
+    std::uint64_t era_ = 0;            ///< Store era at the last read; 0 if unknown.
+    TimePoint era_since_{};            ///< When this node first read it.
     bool is_reading_ = false;
     bool is_released_ = false;
     TimePoint next_read_{};
