Send the own record when copies of it are awaited

Cause (reading the diff): awaitCopies waited for its limit if the rumor of the record was over already; a process that has just been told of former leaves waited for copies that others have. Change: it sends a round of its own; recovered leaves count as copied.

--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -58,9 +58,8 @@
     SocketStream stream_;
     HttpMessageParser parser_;
     std::deque<std::shared_ptr<ServerExchange>> pending_;  ///< Requests without a written response, oldest first.
-    std::optional<TimePoint>
-        deadline_;              ///< When the connection times out; none while a response is awaited or written.
-    TimePoint timer_expiry_{};  ///< When `timer_` fires: not later than `deadline_`.
+    std::optional<TimePoint> deadline_;  ///< When the connection times out; unset while a response is due or sent.
+    TimePoint timer_expiry_{};           ///< When `timer_` fires: not later than `deadline_`.
     TimerHandle timer_;
     TimerHandle redeliver_timer_;  ///< Parses or discards unconsumed bytes when a response was written.
     bool is_head_timed_ = false;   ///< `deadline_` is the header timeout of the current request.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -153,6 +153,7 @@
     const auto id = ++last_copy_wait_;
     auto limit_timer = clock_.startTimer(limit, [this, id] { endCopyWait(id); });
     copy_waits_[id] = {directory_.self().sequence(), available, {}, std::move(done), std::move(limit_timer)};
+    queueRumor(directory_.self().name(), knobs_.self_change_fanout, Duration::zero());
 }
 
 void Gossip::onSelfCopied(const std::string& node, std::uint64_t sequence) {
--- a/src/fleet/gossip.h
+++ b/src/fleet/gossip.h
@@ -75,7 +75,7 @@
     sigc::signal<void(const std::vector<wire::InstanceLeave>&)>& signalLeavesRecovered() {
         return signal_leaves_recovered_;
     }
-    /// Waits until other nodes have the own record as it is now.
+    /// Sends the own record to other nodes, and waits until they have it as it is now.
     /// @param copies number of them; fewer suffice if fewer are known.
     /// @param done called once, also if `limit` has passed.
     void awaitCopies(std::size_t copies, Duration limit, std::function<void()> done);
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -172,6 +172,7 @@
 /// An acknowledged leave binds this node also if an earlier process of it has acknowledged it.
 void SidecarNode::onLeavesRecovered(const std::vector<wire::InstanceLeave>& leaves) {
     if (instance_.restoreLeaves(leaves)) {
+        has_uncopied_leaves_ = false;  // Other nodes have told this one.
         ports_.log.write(Event("leaves_recovered").with("count", leaves.size()));
     }
 }
