--- a/src/instance/local_instance.cc
+++ b/src/instance/local_instance.cc
@@ -138,6 +138,7 @@
         }
     }
     std::vector<wire::InstanceLeave> leaves;
+    leaves.reserve(by_use.size());
     for (const auto& [last_use, leave] : by_use) {
         leaves.push_back(leave);
     }
