Give every run all of its request's time at the instance

What callers saw: a request that its instance would have answered in time is ended by the relay, up to 0.15 of the calls' usual timeout and more before its deadline, and its caller gets 502, or the instance's 504.

Cause: the call graph recognises the calls of a run by the run's deadline. For one run in 64, and for each run while the calls of a route are unknown, the relay handed the instance an earlier deadline, and ended the run itself then, whether or not the request may run twice. "At least three times the mean time" leaves out the slow runs, 3 in 100 of order-pay take seven times the mean.

Ruled out: a longer share or a larger factor, which make the case rarer only.

Change: the order of events decides. A request that must not run twice is never handed less time than it has. Where all calls to a route end with their runs, they are recognised without samples. One that may run twice can be a sample for at most half of its time; if it needs longer, its relay runs it again in the same slot with the rest, and the entry hears nothing of the sample. The second run is counted as a retry before other retries are granted. At an instance that drains meanwhile the entry is told, with the retry paid for.

--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -198,7 +198,10 @@
         return;
     }
     const double factor = (0.5 + random_.unit()) * options_.pace / options_.speed;
-    const auto time = Duration(static_cast<std::int64_t>(static_cast<double>(options_.work_time.count()) * factor));
+    const bool is_slow = options_.slow_share > 0 && random_.unit() < options_.slow_share;
+    const auto time =
+        is_slow ? options_.slow_time
+                : Duration(static_cast<std::int64_t>(static_cast<double>(options_.work_time.count()) * factor));
     running_[run_id].timer = host_.startTimer(time, [this, run_id] { finishRun(run_id); });
 }
 
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -24,6 +24,8 @@
     std::string service;
     std::uint32_t slots = 10;   ///< Requests that run at the same time at most.
     Duration work_time = 50ms;  ///< Mean time of a run, without internal calls; uniform from half to 1.5 times this.
+    double slow_share = 0;      ///< Of runs: take `slow_time` in place of the time that `work_time` gives.
+    Duration slow_time{};
     Duration heartbeat_interval = 1500ms;
     double lost_response_share = 0;         ///< Of completed runs: no response is sent.
     double error_share = 0;                 ///< Of completed runs: the response has status 500.
--- a/src/decision/call_graph.cc
+++ b/src/decision/call_graph.cc
@@ -8,6 +8,8 @@
 
 constexpr double kDecay = 0.5;        ///< Counts are multiplied by this once per `half_life`.
 constexpr int kMaxDeadlineTries = 8;  ///< Attempts to find a unique deadline for a sample.
+/// A deadline later by this many tolerances than that of a call belongs to the call by chance only.
+constexpr int kChanceOffset = 7;
 
 Duration fractionOf(Duration whole, double share) {
     return std::chrono::duration_cast<Duration>(whole * share);
@@ -20,6 +22,11 @@
         return;
     }
     decayed_at_ = now;
+    for (auto& [name, callee] : callees_) {
+        callee.calls *= kDecay;
+        callee.matched *= kDecay;
+        callee.by_chance *= kDecay;
+    }
     for (auto& [name, route] : routes_) {
         for (auto& [callee, it] : route.by_callee) {
             it.complete_runs *= kDecay;
@@ -30,27 +37,44 @@
     }
 }
 
-/// @return true if a sample that identifies calls with this usual timeout still has ample time to complete.
-bool CallGraph::hasAmpleTime(const Route& route, Duration usual) const {
-    return route.mean_time > 0 &&
-           toSeconds(fractionOf(usual, knobs_.sample_share)) >= knobs_.min_time_factor * route.mean_time;
+/// Calls whose deadlines match by chance are left out: among many runs, each deadline is near that of some run.
+bool CallGraph::inheritsDeadline(const Callee& callee) const {
+    const double judged = callee.calls - callee.by_chance;
+    return judged >= knobs_.min_callee_calls &&
+           callee.matched - callee.by_chance >= knobs_.min_inherited_share * judged;
+}
+
+bool CallGraph::identifiesCalls(const Callee& callee, Duration time) const {
+    return inheritsDeadline(callee) || time <= fractionOf(callee.usual, knobs_.sample_share);
+}
+
+bool CallGraph::needsSamples(const Callee& callee) const {
+    return callee.calls >= knobs_.min_callee_calls && !inheritsDeadline(callee);
+}
+
+/// @return true if a run of this route has ample time to complete within the given one.
+bool CallGraph::isAmpleTime(const Route& route, Duration time) const {
+    return route.mean_time > 0 && toSeconds(time) >= knobs_.min_time_factor * route.mean_time;
 }
 
 bool CallGraph::isSampleDue(const Route& route) const {
     const bool is_known = std::all_of(callees_.begin(), callees_.end(), [&](const auto& callee) {
         const auto found = route.by_callee.find(callee.first);
         const bool has_enough = found != route.by_callee.end() && found->second.complete_runs >= 2 * knobs_.min_samples;
-        return has_enough || !hasAmpleTime(route, callee.second);
+        return has_enough || !needsSamples(callee.second) ||
+               !isAmpleTime(route, fractionOf(callee.second.usual, knobs_.sample_share));
     });
     return route.since_sample >= (is_known ? knobs_.known_interval : knobs_.learning_interval);
 }
 
 /// @return the shortest timeout for a sample that leaves it ample time; zero if there is none.
-Duration CallGraph::sampleTime(const Route& route) const {
+/// @param time_left until the deadline of the request.
+Duration CallGraph::sampleTime(const Route& route, Duration time_left) const {
+    const auto longest = fractionOf(time_left, knobs_.max_time_share);
     Duration shortest{};
-    for (const auto& [callee, usual] : callees_) {
-        const auto time = fractionOf(usual, knobs_.sample_share);
-        if (hasAmpleTime(route, usual) && (shortest == Duration::zero() || time < shortest)) {
+    for (const auto& [name, callee] : callees_) {
+        const auto time = std::min(longest, fractionOf(callee.usual, knobs_.sample_share));
+        if (needsSamples(callee) && isAmpleTime(route, time) && (shortest == Duration::zero() || time < shortest)) {
             shortest = time;
         }
     }
@@ -69,28 +93,34 @@
     return {};
 }
 
-CallGraph::RunId CallGraph::onRunBegan(TimePoint now, const std::string& route_name, const CallContext& call_context,
-                                       TimePoint* deadline) {
+CallGraph::RunId CallGraph::onRepeatableRunBegan(TimePoint now, const std::string& route_name,
+                                                 const CallContext& call_context, TimePoint* deadline) {
     decay(now);
     auto& route = routes_[route_name];
     ++route.since_sample;
-    if (isSampleDue(route)) {
-        const auto time = sampleTime(route);
-        const auto sample =
-            time == Duration::zero() ? TimePoint{} : findUniqueDeadline(std::min(*deadline, now + time));
+    const auto time = isSampleDue(route) ? sampleTime(route, *deadline - now) : Duration::zero();
+    if (time > Duration::zero()) {
+        const auto sample = findUniqueDeadline(now + time);
         if (sample != TimePoint{}) {
             *deadline = sample;
             route.since_sample = 0;
         }
     }
+    return onRunBegan(now, route_name, call_context, *deadline);
+}
+
+CallGraph::RunId CallGraph::onRunBegan(TimePoint now, const std::string& route_name, const CallContext& call_context,
+                                       TimePoint deadline) {
+    decay(now);
+    auto& route = routes_[route_name];
     ++route.running;
     route.sum.retry_probability += call_context.retry_probability;
     route.sum.demand_weight += call_context.demand_weight;
     route.sum.no_retry_share += call_context.no_retry_share;
     const auto id = ++last_id_;
-    auto& run = runs_[id] = {route_name, call_context, now, *deadline, true, {}};
+    auto& run = runs_[id] = {route_name, call_context, now, deadline, true, {}};
     markDeadlineCollisions(&run);
-    by_deadline_.emplace(*deadline, id);
+    by_deadline_.emplace(deadline, id);
     return id;
 }
 
@@ -124,19 +154,19 @@
     addSample(run, is_complete);
 }
 
-/// A run is a sample for each callee whose usual timeout exceeds the time that the run had.
+/// A run is a sample for each callee whose calls it is identified by.
 void CallGraph::addSample(const Run& run, bool is_complete) {
     if (!run.has_unique_deadline) {
         return;
     }
     auto& by_callee = routes_[run.route].by_callee;
-    for (const auto& [callee, usual] : callees_) {
-        if (run.deadline - run.began > fractionOf(usual, knobs_.sample_share)) {
+    for (const auto& [name, callee] : callees_) {
+        if (!identifiesCalls(callee, run.deadline - run.began)) {
             continue;
         }
-        const auto found = run.calls_made.find(callee);
+        const auto found = run.calls_made.find(name);
         const double calls = found == run.calls_made.end() ? 0 : found->second;
-        auto& it = by_callee[callee];
+        auto& it = by_callee[name];
         (is_complete ? it.complete_runs : it.failed_runs) += 1;
         (is_complete ? it.calls_of_complete : it.calls_of_failed) += calls;
     }
@@ -153,15 +183,28 @@
     return is_unique ? &runs_.at(found->second) : nullptr;
 }
 
-CallContext CallGraph::onCall(TimePoint now, const std::string& callee, Duration timeout) {
+bool CallGraph::hasRunUntil(TimePoint deadline) const {
+    const auto found = by_deadline_.lower_bound(deadline - knobs_.tolerance);
+    return found != by_deadline_.end() && found->first <= deadline + knobs_.tolerance;
+}
+
+void CallGraph::countMatch(TimePoint deadline, Callee* callee) const {
+    callee->calls += 1;
+    callee->matched += hasRunUntil(deadline) ? 1 : 0;
+    callee->by_chance += hasRunUntil(deadline + kChanceOffset * knobs_.tolerance) ? 1 : 0;
+}
+
+CallContext CallGraph::onCall(TimePoint now, const std::string& name, Duration timeout) {
     decay(now);
-    const bool is_shortened = usual_.isShortened(now, callee, timeout);
-    callees_[callee] = usual_.usual(callee);
-    auto* run = is_shortened ? findRunByDeadline(now + timeout) : nullptr;
+    const bool is_shortened = usual_.isShortened(now, name, timeout);
+    auto& callee = callees_[name];
+    callee.usual = usual_.usual(name);
+    countMatch(now + timeout, &callee);
+    auto* run = is_shortened || inheritsDeadline(callee) ? findRunByDeadline(now + timeout) : nullptr;
     if (run == nullptr) {
-        return meanContext(callee);
+        return meanContext(name);
     }
-    run->calls_made[callee] += 1;
+    run->calls_made[name] += 1;
     return run->call_context;
 }
 
--- a/src/decision/call_graph.h
+++ b/src/decision/call_graph.h
@@ -3,9 +3,11 @@
 /// execution of one request by the instance.
 ///
 /// An internal call does not name the request that it is made for, but it must end by that request's deadline. If
-/// this is earlier than the call's usual timeout, the call's deadline equals the request's and identifies it. For
-/// a small sample of requests the deadline is therefore shortened: below the usual timeout of the calls, several
-/// times the route's mean time, and unique among the requests in progress.
+/// this is earlier than the call's usual timeout, the call's deadline equals the request's and identifies it. Where
+/// requests usually have more time than their calls, a small sample of those that may run twice begins with a shorter
+/// deadline: below the usual timeout of the calls, several times the route's mean time, at most a part of the time
+/// left, and unique among the requests in progress. A run that needs longer is begun again with the rest of its time
+/// (relay::RelayService). No other request gets less time than its caller gives it.
 #pragma once
 
 #include <cstddef>
@@ -29,18 +31,21 @@
 
 /// Constants of the estimate.
 struct CallGraphKnobs {
-    Duration tolerance = 3ms;    ///< Greatest difference of the deadlines of a call and its request: both
-                                 ///< are rounded to milliseconds, and a call takes a moment to arrive.
-    Duration half_life = 30s;    ///< Counts are halved this often.
-    double sample_share = 0.85;  ///< Timeout of a sample as a share of the calls' usual timeout; the rest
-                                 ///< allows calls that are made late in a run to be identified.
-    double min_time_factor = 3;  ///< The timeout of a sample is at least this many times the mean time of its route.
+    Duration tolerance = 3ms;     ///< Greatest difference of the deadlines of a call and its request: both
+                                  ///< are rounded to milliseconds, and a call takes a moment to arrive.
+    Duration half_life = 30s;     ///< Counts are halved this often.
+    double sample_share = 0.85;   ///< Timeout of a sample as a share of the calls' usual timeout; the rest
+                                  ///< allows calls that are made late in a run to be identified.
+    double min_time_factor = 3;   ///< The timeout of a sample is at least this many times the mean time of its route.
+    double max_time_share = 0.5;  ///< And at most this share of the time left, so that it can be begun again.
     std::uint32_t learning_interval = 1;  ///< One run in this many is a sample while a route's calls are unknown,
     std::uint32_t known_interval = 64;    ///< and one in this many afterwards, to detect changes.
     double min_samples = 4;               ///< Completed sample runs before an estimate is given.
     double min_failed_samples = 12;       ///< The same for failed runs, which may have ended before some calls.
     double min_calls = 0.05;              ///< A route depends on a callee if it calls it at least this often per run.
     double time_weight = 0.1;             ///< Weight of one run in the moving average of a route's time.
+    double min_callee_calls = 20;         ///< Calls to a callee before its calls' deadlines are judged.
+    double min_inherited_share = 0.9;     ///< Of the calls to a callee: all end with the run that makes them.
     Duration failure_ttl = 100ms;         ///< A failed call explains a failure of the instance for this long.
 };
 
@@ -52,10 +57,13 @@
 
     explicit CallGraph(CallGraphKnobs knobs) : knobs_(knobs) {}
 
-    /// Registers a request that is about to be sent to the instance.
-    /// @param deadline   in: deadline of the request; out: deadline to send to the instance, earlier for a sample.
+    /// Registers a request that is about to be sent to the instance with its own deadline.
     /// @return the run's id, for `onRunEnded`.
-    RunId onRunBegan(TimePoint now, const std::string& route, const CallContext& call_context, TimePoint* deadline);
+    RunId onRunBegan(TimePoint now, const std::string& route, const CallContext& call_context, TimePoint deadline);
+    /// The same for a request that can be sent again if the instance does not complete it in time.
+    /// @param deadline   in: deadline of the request; out: deadline to send to the instance, earlier for a sample.
+    RunId onRepeatableRunBegan(TimePoint now, const std::string& route, const CallContext& call_context,
+                               TimePoint* deadline);
     /// Registers the end of a run.
     /// @param is_complete   true if the response was a success: the run has made all of its calls.
     void onRunEnded(TimePoint now, RunId id, bool is_complete);
@@ -94,6 +102,13 @@
         double failed_runs = 0;
         double calls_of_failed = 0;
     };
+    /// Calls to one callee; counts decay.
+    struct Callee {
+        Duration usual{};  ///< Usual timeout of the calls.
+        double calls = 0;
+        double matched = 0;    ///< Calls whose deadline is that of a run.
+        double by_chance = 0;  ///< Calls to which the same happens with a deadline that no run gives them.
+    };
     /// Estimates of one route of the instance.
     struct Route {
         double mean_time = 0;  ///< Seconds; 0 before the first run has ended.
@@ -104,9 +119,17 @@
     };
 
     void decay(TimePoint now);
-    [[nodiscard]] bool hasAmpleTime(const Route& route, Duration usual) const;
+    /// @return true if the deadline of each call to this callee is that of its run.
+    [[nodiscard]] bool inheritsDeadline(const Callee& callee) const;
+    /// @return true if a run with this time to its deadline is identified by its calls to this callee.
+    [[nodiscard]] bool identifiesCalls(const Callee& callee, Duration time) const;
+    /// @return true if only a sample shows the calls of a route to this callee.
+    [[nodiscard]] bool needsSamples(const Callee& callee) const;
+    void countMatch(TimePoint deadline, Callee* callee) const;
+    [[nodiscard]] bool hasRunUntil(TimePoint deadline) const;
+    [[nodiscard]] bool isAmpleTime(const Route& route, Duration time) const;
     [[nodiscard]] bool isSampleDue(const Route& route) const;
-    [[nodiscard]] Duration sampleTime(const Route& route) const;
+    [[nodiscard]] Duration sampleTime(const Route& route, Duration time_left) const;
     [[nodiscard]] TimePoint findUniqueDeadline(TimePoint deadline) const;
     void markDeadlineCollisions(Run* run);
     [[nodiscard]] Run* findRunByDeadline(TimePoint deadline);
@@ -118,7 +141,7 @@
     std::map<RunId, Run> runs_;                    ///< Runs in progress.
     std::multimap<TimePoint, RunId> by_deadline_;  ///< Ids of `runs_`.
     std::map<std::string, Route> routes_;
-    std::map<std::string, Duration> callees_;  ///< Usual timeout of the calls, by called route.
+    std::map<std::string, Callee> callees_;  ///< By called route.
     UsualDeadlines usual_;
     std::deque<TimePoint> failed_calls_;  ///< In order of time; those that explain no failure yet.
     TimePoint decayed_at_{};
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -137,6 +137,8 @@
         TimePoint sent_at{};
         decision::CountedArrival counted;    ///< As demand for the instance.
         decision::CallGraph::RunId run = 0;  ///< 0 before the request is sent.
+        TimePoint sample_until{};    ///< Deadline sent to the instance, if it is earlier than that of the request.
+        HttpRequest sample_request;  ///< To be sent again if the instance needs longer than `sample_until`.
         AttemptHandle attempt;
         TimerHandle rejection_timer;  ///< Delivers a rejection from the event loop.
     };
@@ -161,6 +163,10 @@
     void rejectLater(CallId id, RelayReason reason);
     void onQueueDecision(CallId id, InstanceQueue::Decision decision);
     void send(CallId id);
+    /// Registers the run at the call graph. @return the deadline to send to the instance.
+    TimePoint beginRun(Call* call, const HttpRequest& request);
+    [[nodiscard]] bool needsFullTime(const Call& call, const AttemptResult& result) const;
+    void sendWithFullTime(CallId id);
     void onAttemptEnded(CallId id, AttemptResult result);
     void onConnectionFailed(CallId id, AttemptResult result);
     void returnToQueue(CallId id, HttpRequest request);
--- a/tests/unit/decision/bottleneck_view_test.cc
+++ b/tests/unit/decision/bottleneck_view_test.cc
@@ -15,10 +15,10 @@
         const auto now = time.clock.now();
         graph.onCall(now, "inner", 900ms);  // The usual timeout of the callee.
         for (int run = 0; run < 40; ++run) {
-            auto deadline = now + 400ms + 10ms * run;
-            auto plain_deadline = deadline + 100ms;
-            const auto calling = graph.onRunBegan(now, "calling", {}, &deadline);
-            const auto plain = graph.onRunBegan(now, "plain", {}, &plain_deadline);
+            const auto deadline = now + 400ms + 10ms * run;
+            const auto plain_deadline = deadline + 100ms;
+            const auto calling = graph.onRunBegan(now, "calling", {}, deadline);
+            const auto plain = graph.onRunBegan(now, "plain", {}, plain_deadline);
             graph.onCall(now, "inner", deadline - now);
             graph.onCall(now, "inner", deadline - now);
             graph.onRunEnded(now + 1ms, calling, true);
--- a/tests/unit/decision/call_graph_test.cc
+++ b/tests/unit/decision/call_graph_test.cc
@@ -29,6 +29,7 @@
     Duration time{};
     std::vector<Calls> calls;
     double retry_probability = 0;
+    bool is_repeatable = true;
 };
 
 struct GraphFixture {
@@ -50,7 +51,9 @@
         }
         const auto began = time.queue.now();
         auto deadline = began + route.deadline;
-        const auto number = graph.onRunBegan(began, route.name, {route.retry_probability, 1}, &deadline);
+        const decision::CallContext context{route.retry_probability, 1};
+        const auto number = route.is_repeatable ? graph.onRepeatableRunBegan(began, route.name, context, &deadline)
+                                                : graph.onRunBegan(began, route.name, context, deadline);
         BOOST_TEST((deadline <= began + route.deadline));
         // The graph uses the observed mean time, which differs from the nominal time.
         BOOST_TEST((2 * (deadline - began) >= 5 * route.time || deadline == began + route.deadline));
@@ -95,9 +98,8 @@
 
 /// Guards against excluding a dependency of a route before the graph has samples.
 BOOST_AUTO_TEST_CASE(nothing_is_excluded_before_enough_was_seen) {
-    auto deadline = time.queue.now() + 1s;
     BOOST_TEST(graph.depends("pack", "below"));
-    graph.onRunBegan(time.queue.now(), "pack", {}, &deadline);
+    graph.onRunBegan(time.queue.now(), "pack", {}, time.queue.now() + 1s);
     BOOST_TEST(graph.depends("pack", "below"));
     BOOST_TEST(!graph.callsPerRun("pack", "below").has_value());
 }
@@ -164,6 +166,47 @@
     BOOST_TEST(std::abs(mean - 0.1) < 0.03, mean);
 }
 
+/// Guards against call counts that need a shorter deadline, which a request that must not run twice cannot be given:
+/// here each call ends with its run.
+BOOST_AUTO_TEST_CASE(calls_that_end_with_their_runs_are_counted_without_samples) {
+    arrive({"pay", 30, 1500ms, 300ms, {{"card", 2, 2s}}, 0, false});
+    arrive({"status", 60, 1200ms, 150ms, {{"card", 1, 2s}}, 0, false});
+    arrive({"plain", 40, 1500ms, 100ms, {}, 0, false});
+    time.advance(20s);
+    for (int second = 0; second < 60; ++second) {
+        time.advance(1s);
+        BOOST_TEST(std::abs(calls("pay", "card") - 2) < 0.2, calls("pay", "card"));
+        BOOST_TEST(std::abs(calls("status", "card") - 1) < 0.1, calls("status", "card"));
+        BOOST_TEST(!graph.depends("plain", "card"));
+    }
+}
+
+/// Guards against calls with timeouts of their own that are attributed to the run whose deadline they happen to meet.
+BOOST_AUTO_TEST_CASE(calls_with_their_own_timeouts_are_not_attributed_by_chance) {
+    arrive({"sign", 30, 5s, 300ms, {{"stock", 2, 700ms}}, 0, false});
+    arrive({"plain", 300, 1200ms, 300ms, {}, 0, false});
+    time.advance(60s);
+    BOOST_TEST(calls("plain", "stock") == -1);
+    BOOST_TEST(calls("sign", "stock") == -1);
+}
+
+/// Guards against a sample that leaves a request that needs longer too little time to be run again.
+BOOST_AUTO_TEST_CASE(a_sample_takes_at_most_half_of_the_time) {
+    arrive({"check", 60, 2500ms, 250ms, {{"stock", 1, 2s}}});
+    time.advance(20s);
+    int samples = 0;
+    for (int run = 0; run < 500; ++run) {
+        time.advance(10ms);
+        const auto now = time.queue.now();
+        auto deadline = now + 1800ms;
+        const auto number = graph.onRepeatableRunBegan(now, "check", {}, &deadline);
+        graph.onRunEnded(now + 250ms, number, true);
+        samples += deadline < now + 1800ms ? 1 : 0;
+        BOOST_TEST((deadline == now + 1800ms || deadline <= now + 900ms));
+    }
+    BOOST_TEST(samples > 0);
+}
+
 /// Guards against a failed run that is attributed to a call before its start, long ago or already attributed.
 BOOST_AUTO_TEST_CASE(a_failure_is_explained_by_a_call_that_has_just_failed_during_the_run) {
     const auto began = time.queue.now();
