Take what has arrived before idle connections close, and keep owed responses at a header timeout

Cause: at the end of the drain time a server closes its listener and its idle connections in one step. What clients had sent by then, but the loop had not come to read, was reset unread: on kept connections, on connections that waited to be accepted, and behind a first part. Such a request does not run, so that its client may send it again, but finds no listener. Apart from stops, the header timeout of a request that came in part closed the connection although responses to requests before it were still owed. Change: the server accepts the waiting connections before it stops listening, and reads an idle connection before it closes it; a request that is whole by then gets its response, with Connection: close. After a header timeout the connection takes no further request and closes with the last response that is owed. Conclusion: a loop that lags no longer widens the race of the close; what is on the wire at that moment is still lost to it.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -93,10 +93,22 @@
 void HttpServer::stopAccepting() {
     close_after_response_ = true;
     if (listener_ != nullptr) {
+        acceptWaiting();
         evconnlistener_free(std::exchange(listener_, nullptr));
     }
 }
 
+void HttpServer::acceptWaiting() {
+    int descriptor = -1;
+    const auto listener = evconnlistener_get_fd(listener_);
+    do {
+        descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor >= 0) {
+            connections_.insert(new ServerConnection(*this, descriptor));
+        }
+    } while (descriptor >= 0 || errno == EINTR || errno == ECONNABORTED);
+}
+
 void HttpServer::closeIdleConnections() {
     const auto connections = connections_;
     for (auto* connection : connections) {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -76,12 +76,14 @@
     /// Closes each connection after its next response, or after the last one if requests are pipelined; a request
     /// behind a pending one is not taken any more. New connections are still accepted.
     void closeAfterResponses() { close_after_response_ = true; }
-    /// Closes the connections without a pending response; bytes that they have sent meanwhile are not read. The others
-    /// take no further request, and close once their clients have the pending responses.
+    /// Closes the connections without a pending response, apart from those whose next request has arrived: these are
+    /// given a response first. The others take no further request, and close once their clients have the pending
+    /// responses.
     void closeIdleConnections();
     /// @return true if no request waits for its response, and the hosts of all clients have received what was sent.
     [[nodiscard]] bool hasDeliveredAll() const;
-    /// Stops listening, and closes each open connection like `closeAfterResponses`.
+    /// Stops listening, and closes each open connection like `closeAfterResponses`. Connections that wait to be
+    /// accepted are accepted first, since the end of the listener would reset them.
     void stopAccepting();
     [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
 
@@ -90,6 +92,8 @@
     static void onAccept(evconnlistener* listener, evutil_socket_t descriptor, sockaddr* address, int length,
                          void* self);
 
+    /// Accepts the connections that are waiting.
+    void acceptWaiting();
     /// Destroys a closed connection from the loop, since its methods may still be on the call stack.
     void destroyLater(ServerConnection* connection);
 
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -35,13 +35,16 @@
     return pending_.empty() && stream_.unacknowledgedBytes() == 0;
 }
 
+/// A request that has arrived, but that the loop has not come to read, would be lost by the close.
 void ServerConnection::closeWhenIdle() {
+    close_after_response_ = true;
+    while (isIdle() && !is_reading_done_ && stream_.readArrived()) {
+    }
     if (isIdle()) {
         close();
         return;
     }
     stopReading();
-    close_after_response_ = true;
     close_after_write_ = close_after_write_ || pending_.empty();
     shutdownIfWritten();
 }
@@ -245,6 +248,11 @@
         startTimer();
     } else if (pending_.empty() && !parser_.hasStarted() && !isIdle()) {
         updateDeadline();  // The client's host has not received all of the last response yet.
+    } else if (!pending_.empty()) {
+        // The next request came in part only. The responses to those before it are still owed.
+        stopReading();
+        close_after_response_ = true;
+        updateDeadline();
     } else {
         close();
     }
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -25,7 +25,8 @@
     /// @return true if no request waits for its response, and the client's host has all responses. False if it has gone
     /// silent, until the connection times out.
     [[nodiscard]] bool isIdle() const;
-    /// Takes no further request, and closes once the client's host has the responses to those that were taken.
+    /// Takes one more request if it has arrived, and none after it. Closes once the client's host has the responses to
+    /// those that were taken.
     void closeWhenIdle();
     /// Closes at once, and runs the disconnect callbacks of pending exchanges. The loop destroys this object later.
     void close();
--- a/src/adapters/socket_stream.cc
+++ b/src/adapters/socket_stream.cc
@@ -86,18 +86,18 @@
 
 // Read -----------------------------------------------------------------------
 
-void SocketStream::read() {
+bool SocketStream::read() {
     static std::array<char, kReadChunk> chunk;
     const auto count = recv(descriptor_, chunk.data(), chunk.size(), 0);
     if (count < 0) {
         if (!isTransient(errno)) {
             notifyClosed(CloseReason::kError);
         }
-        return;
+        return false;
     }
     if (count == 0) {
         notifyClosed(CloseReason::kEndOfStream);
-        return;
+        return false;
     }
     const std::string_view bytes(chunk.data(), static_cast<std::size_t>(count));
     if (input_.empty()) {
@@ -106,6 +106,11 @@
         input_ += bytes;
         redeliver();
     }
+    return true;
+}
+
+bool SocketStream::readArrived() {
+    return !is_stopped_ && !is_connecting_ && read();
 }
 
 void SocketStream::deliver(std::string_view bytes) {
--- a/src/adapters/socket_stream.h
+++ b/src/adapters/socket_stream.h
@@ -25,7 +25,7 @@
 };
 
 /// Owns a socket and its buffers. Listener callbacks run from the loop, and never inside a call to the stream other
-/// than `redeliver`. They must not destroy the stream.
+/// than `redeliver` and `readArrived`. They must not destroy the stream.
 class SocketStream {
 public:
     /// Receives the events of a stream.
@@ -65,6 +65,9 @@
     void write(std::string_view head, std::string_view body);
     /// Passes the unconsumed bytes to the listener again, inside this call.
     void redeliver();
+    /// Reads once what has arrived, without waiting for the loop; callbacks to the listener run inside this call.
+    /// @return whether bytes were read.
+    bool readArrived();
     /// Shuts down the sending side of the socket.
     void closeWriting();
     /// Stops all callbacks to the listener. The socket stays open until destruction.
@@ -80,7 +83,8 @@
     /// Sets the options and events of a new socket.
     void initSocket(evutil_socket_t descriptor);
     void finishConnecting();
-    void read();
+    /// @return whether bytes were read.
+    bool read();
     /// Passes bytes to the listener and keeps those that it does not consume.
     void deliver(std::string_view bytes);
     /// Pauses or resumes reading, according to `read_ahead_`.
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -260,6 +260,48 @@
     close(busy);
 }
 
+/// Guards against a reset of requests that have arrived when the server closes its idle connections, since the loop has
+/// not come to read them: on a kept connection, on one that was not accepted yet, and behind a first part.
+BOOST_AUTO_TEST_CASE(requests_that_have_arrived_are_taken_before_idle_connections_close) {
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string part = request.substr(0, 30);
+    const int kept = connect();
+    const int divided = connect();
+    BOOST_REQUIRE(write(divided, part.data(), part.size()) > 0);
+    runUntil([&] { return server.openConnections() == 2; });
+    runFor(50ms);
+    const int fresh = connect();
+    BOOST_REQUIRE(write(kept, request.data(), request.size()) > 0);
+    BOOST_REQUIRE(write(divided, request.data() + part.size(), request.size() - part.size()) > 0);
+    BOOST_REQUIRE(write(fresh, request.data(), request.size()) > 0);
+    server.stopAccepting();
+    server.closeIdleConnections();
+    for (const int descriptor : {kept, divided, fresh}) {
+        const auto text = readToEnd(descriptor);
+        BOOST_TEST(countOf("200 OK", text) == 1U, text);
+        BOOST_TEST(countOf("Connection: close", text) == 1U, text);
+        close(descriptor);
+    }
+    BOOST_TEST(received == 3);
+    runUntil([&] { return server.openConnections() == 0; });
+}
+
+/// Guards against a header timeout that cuts the response owed to an earlier request of the connection.
+BOOST_AUTO_TEST_CASE(a_header_timeout_leaves_the_responses_to_earlier_requests) {
+    reply_at_once = false;
+    const std::string requests = "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHo";
+    const int descriptor = connect();
+    BOOST_REQUIRE(write(descriptor, requests.data(), requests.size()) > 0);
+    runUntil([&] { return received == 1; });
+    runFor(1500ms);  // Longer than the header timeout.
+    BOOST_TEST(disconnected_clients == 0);
+    pending.front()->reply(okResponse("done"));
+    const auto text = readToEnd(descriptor);
+    BOOST_TEST(countOf("200 OK", text) == 1U, text);
+    BOOST_TEST(countOf("Connection: close", text) == 1U, text);
+    close(descriptor);
+}
+
 /// Guards against a stop that takes requests up to its end from a connection that always has one at work, and then cuts
 /// them: a connection that is closing takes no request behind a pending one, and its last response closes it.
 BOOST_AUTO_TEST_CASE(a_stopping_server_takes_no_request_behind_a_pending_one) {
