End a stop when the responses that are owed are delivered, not when no request comes any more

Cause: the stop of a node waits until the hosts of all peers have acknowledged all responses. A relay that is the only one of its service is asked on after it has closed; with rejections sent all the time, and acknowledged up to 40 ms later, there was hardly a moment without one on its way. So its stop lasted up to the limit (`delivered=no`), which keeps its instance away for 3 s longer. Ruled out: calls in flight (`in_flight` 0 or 1, each a rejection). Change: at the end of the drain time the node server notes the connections that are not idle, on which all calls are that have begun; the stop waits for these, and each closes after its response. Later requests are rejected as before, and do not prolong the stop. Conclusion: the wait for deliveries covers what is owed, and nothing else.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -133,6 +133,7 @@
     node_.stop({[this] {
                     callers_.stopAccepting();
                     callers_.closeIdleConnections();
+                    node_server_.closeAfterPresentResponses();  // The relay rejects what comes from now on.
                 },
                 [this] { return callers_.hasDeliveredAll() && node_server_.hasDeliveredAll(); },
                 [this] {
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 #include "src/adapters/server_connection.h"
@@ -116,13 +117,23 @@
     }
 }
 
+void HttpServer::closeAfterPresentResponses() {
+    closeAfterResponses();
+    present_.emplace();
+    std::copy_if(connections_.begin(), connections_.end(), std::inserter(*present_, present_->end()),
+                 [](const auto* connection) { return !connection->isIdle(); });
+}
+
 bool HttpServer::hasDeliveredAll() const {
-    return std::all_of(connections_.begin(), connections_.end(),
-                       [](const auto* connection) { return connection->isIdle(); });
+    const auto& covered = present_ ? *present_ : connections_;
+    return std::all_of(covered.begin(), covered.end(), [](const auto* connection) { return connection->isIdle(); });
 }
 
 void HttpServer::destroyLater(ServerConnection* connection) {
     connections_.erase(connection);
+    if (present_) {
+        present_->erase(connection);
+    }
     to_destroy_.emplace_back(connection);
     if (to_destroy_.size() == 1) {
         destroy_timer_ = loop_.startTimer(Duration::zero(), [this] { to_destroy_.clear(); });
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,6 +81,9 @@
     /// given a response first. The others take no further request, and close once their clients have the pending
     /// responses.
     void closeIdleConnections();
+    /// As closeAfterResponses(). From now on hasDeliveredAll() covers only the connections that are not idle yet:
+    /// clients that go on sending requests, each on a new connection, would hold up a stop up to its limit.
+    void closeAfterPresentResponses();
     /// @return true if no request waits for its response, and the hosts of all clients have received what was sent.
     [[nodiscard]] bool hasDeliveredAll() const;
     /// Stops listening, and closes each open connection like `closeAfterResponses`. Connections that wait to be
@@ -104,6 +108,7 @@
     evconnlistener* listener_ = nullptr;
     bool close_after_response_ = false;
     std::set<ServerConnection*> connections_;
+    std::optional<std::set<ServerConnection*>> present_;  ///< Connections that hasDeliveredAll() covers; none: all.
     std::vector<std::unique_ptr<ServerConnection>> to_destroy_;
     TimerHandle destroy_timer_;
 };
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -378,6 +378,30 @@
     runUntil([&] { return server.openConnections() == 0; });
 }
 
+/// Guards against a stop that lasts up to its limit since there is always one client that has not received its
+/// response.
+BOOST_AUTO_TEST_CASE(later_requests_do_not_hold_up_the_deliveries_of_a_stop) {
+    reply_at_once = false;
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const int first = connect();
+    BOOST_REQUIRE(write(first, request.data(), request.size()) > 0);
+    runUntil([&] { return received == 1; });
+    server.closeAfterPresentResponses();
+    const int later = connect();
+    BOOST_REQUIRE(write(later, request.data(), request.size()) > 0);
+    runUntil([&] { return received == 2; });
+    BOOST_TEST(!server.hasDeliveredAll());
+    pending.front()->reply(okResponse("done"));
+    runUntil([&] { return server.hasDeliveredAll(); });
+    BOOST_TEST(countOf("Connection: close", readToEnd(first)) == 1U);
+    pending.back()->reply(okResponse("done"));
+    BOOST_TEST(countOf("Connection: close", readToEnd(later)) == 1U);
+    close(first);
+    close(later);
+    runUntil([&] { return server.openConnections() == 0; });
+    BOOST_TEST(server.hasDeliveredAll());
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_server_closes_after_the_response_and_accepts_no_connection) {
     reply_at_once = false;
     const int descriptor = connect();
