Send unsafe calls to a stopping relay on a new connection, which it refuses once it has ended

Cause: while the only relay of a service stops, entries go on asking it, each on a kept connection. A request that reaches the host between the relay's last look at the connection and the end of its process is reset; as it was sent, its outcome is unknown, and an unsafe one gets 502 although it did not run. Its caller may not repeat it. Connections that the listener held when the process ended met the same. Ruled out: a loss of a request that ran: none did. Change: an entry sends a call that must not run twice to a stopping relay on a new connection. A relay that is done stops listening, after accepting what waits, before its flush time, so that such a call is refused, which is known as not sent, or rejected within the flush time. Conclusion: mended where the entry knows that the relay stops. Without that news, which takes 2.5 s of lost gossip, the outcome stays unknown.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -138,6 +138,9 @@
                 [this] { return callers_.hasDeliveredAll() && node_server_.hasDeliveredAll(); },
                 [this] {
                     callers_.closeIdleConnections();
+                    // Other nodes that connect from now on are refused, and know that their requests did not run. Those
+                    // that are connected get their responses within the flush time.
+                    node_server_.stopAccepting();
                     flush_timer_ = loop_.startTimer(kFlushTime, [this] { loop_.stop(); });
                 }});
 }
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -119,9 +119,14 @@
     services_.failure_detector.onCallSent(relay_);
     sent_ = services_.clock.now();
     const relay::RelayPeer self{services_.directory.self().name(), services_.table.version()};
-    attempt_ = services_.nodes.sendCall(target.address, relay::toHttp(std::move(request), self, services_.clock.now()),
-                                        remaining() + 1s, plan_.route->is_repeatable(),
-                                        [this](AttemptResult result) { onRelayResponse(std::move(result)); });
+    auto message = relay::toHttp(std::move(request), self, services_.clock.now());
+    const auto timeout = remaining() + 1s;
+    const bool may_run_twice = plan_.route->is_repeatable();
+    auto callback = [this](AttemptResult result) { onRelayResponse(std::move(result)); };
+    attempt_ = target.is_stopping ? services_.nodes.sendCallToStopping(target.address, std::move(message), timeout,
+                                                                       may_run_twice, std::move(callback))
+                                  : services_.nodes.sendCall(target.address, std::move(message), timeout, may_run_twice,
+                                                             std::move(callback));
 }
 
 void EntryCall::onRelayResponse(AttemptResult result) {
--- a/src/ports/reconnecting_sender.cc
+++ b/src/ports/reconnecting_sender.cc
@@ -121,4 +121,10 @@
     return start(address, std::move(request), timeout, resend, std::move(callback));
 }
 
+AttemptHandle ReconnectingSender::sendCallToStopping(const std::string& address, HttpRequest request, Duration timeout,
+                                                     bool may_run_twice, HttpTransport::Callback callback) {
+    return may_run_twice ? sendCall(address, std::move(request), timeout, may_run_twice, std::move(callback))
+                         : transport_.sendOnNewConnection(address, std::move(request), timeout, std::move(callback));
+}
+
 }  // namespace dewcrank
--- a/src/ports/reconnecting_sender.h
+++ b/src/ports/reconnecting_sender.h
@@ -32,6 +32,10 @@
     /// sent again, and only if it may run twice. Other requests use only connections that have worked recently.
     [[nodiscard]] AttemptHandle sendCall(const std::string& address, HttpRequest request, Duration timeout,
                                          bool may_run_twice, HttpTransport::Callback callback);
+    /// As sendCall(), to a peer that is stopping. A call that must not run twice is sent on a new connection: a peer
+    /// that has ended refuses that one, while the outcome of a request on a connection that it has closed is unknown.
+    [[nodiscard]] AttemptHandle sendCallToStopping(const std::string& address, HttpRequest request, Duration timeout,
+                                                   bool may_run_twice, HttpTransport::Callback callback);
 
 private:
     class Attempt;
--- a/tests/unit/ports/reconnecting_sender_test.cc
+++ b/tests/unit/ports/reconnecting_sender_test.cc
@@ -162,6 +162,19 @@
     BOOST_TEST(transport.on_idle.size() == 1U);
 }
 
+/// Guards against an unknown outcome of a call that did not run, since it was sent on a connection that a stopping peer
+/// closed at its end.
+BOOST_AUTO_TEST_CASE(a_call_that_must_not_run_twice_reaches_a_stopping_peer_on_a_new_connection) {
+    for (const bool may_run_twice : {true, false}) {
+        transport.on_idle.clear();
+        transport.on_new.clear();
+        attempt = sender.sendCallToStopping("1.2.3.4:5", HttpRequest{}, 5s, may_run_twice,
+                                            [this](AttemptResult it) { result = std::move(it); });
+        BOOST_TEST(transport.on_idle.size() == (may_run_twice ? 1U : 0U));
+        BOOST_TEST(transport.on_new.size() == (may_run_twice ? 0U : 1U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_with_a_large_body_is_not_kept_for_a_second_try) {
     transport.is_unacknowledged = true;
     sendCall(true, 1'000'000);
