--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 #include "src/adapters/server_connection.h"
@@ -93,10 +94,22 @@
 void HttpServer::stopAccepting() {
     close_after_response_ = true;
     if (listener_ != nullptr) {
+        acceptWaiting();
         evconnlistener_free(std::exchange(listener_, nullptr));
     }
 }
 
+void HttpServer::acceptWaiting() {
+    int descriptor = -1;
+    const auto listener = evconnlistener_get_fd(listener_);
+    do {
+        descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor >= 0) {
+            connections_.insert(new ServerConnection(*this, descriptor));
+        }
+    } while (descriptor >= 0 || errno == EINTR || errno == ECONNABORTED);
+}
+
 void HttpServer::closeIdleConnections() {
     const auto connections = connections_;
     for (auto* connection : connections) {
@@ -104,13 +117,23 @@
     }
 }
 
+void HttpServer::closeAfterPresentResponses() {
+    closeAfterResponses();
+    present_.emplace();
+    std::copy_if(connections_.begin(), connections_.end(), std::inserter(*present_, present_->end()),
+                 [](const auto* connection) { return !connection->isIdle(); });
+}
+
 bool HttpServer::hasDeliveredAll() const {
-    return std::all_of(connections_.begin(), connections_.end(),
-                       [](const auto* connection) { return connection->isIdle(); });
+    const auto& covered = present_ ? *present_ : connections_;
+    return std::all_of(covered.begin(), covered.end(), [](const auto* connection) { return connection->isIdle(); });
 }
 
 void HttpServer::destroyLater(ServerConnection* connection) {
     connections_.erase(connection);
+    if (present_) {
+        present_->erase(connection);
+    }
     to_destroy_.emplace_back(connection);
     if (to_destroy_.size() == 1) {
         destroy_timer_ = loop_.startTimer(Duration::zero(), [this] { to_destroy_.clear(); });
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,12 +77,17 @@
     /// Closes each connection after its next response, or after the last one if requests are pipelined; a request
     /// behind a pending one is not taken any more. New connections are still accepted.
     void closeAfterResponses() { close_after_response_ = true; }
-    /// Closes the connections without a pending response; bytes that they have sent meanwhile are not read. The others
-    /// take no further request, and close once their clients have the pending responses.
+    /// Closes the connections without a pending response, apart from those whose next request has arrived: these are
+    /// given a response first. The others take no further request, and close once their clients have the pending
+    /// responses.
     void closeIdleConnections();
+    /// As closeAfterResponses(). From now on hasDeliveredAll() covers only the connections that are not idle yet:
+    /// clients that go on sending requests, each on a new connection, would hold up a stop up to its limit.
+    void closeAfterPresentResponses();
     /// @return true if no request waits for its response, and the hosts of all clients have received what was sent.
     [[nodiscard]] bool hasDeliveredAll() const;
-    /// Stops listening, and closes each open connection like `closeAfterResponses`.
+    /// Stops listening, and closes each open connection like `closeAfterResponses`. Connections that wait to be
+    /// accepted are accepted first, since the end of the listener would reset them.
     void stopAccepting();
     [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
 
@@ -90,6 +96,8 @@
     static void onAccept(evconnlistener* listener, evutil_socket_t descriptor, sockaddr* address, int length,
                          void* self);
 
+    /// Accepts the connections that are waiting.
+    void acceptWaiting();
     /// Destroys a closed connection from the loop, since its methods may still be on the call stack.
     void destroyLater(ServerConnection* connection);
 
@@ -100,6 +108,7 @@
     evconnlistener* listener_ = nullptr;
     bool close_after_response_ = false;
     std::set<ServerConnection*> connections_;
+    std::optional<std::set<ServerConnection*>> present_;  ///< Connections that hasDeliveredAll() covers; none: all.
     std::vector<std::unique_ptr<ServerConnection>> to_destroy_;
     TimerHandle destroy_timer_;
 };
