Report runs that a relay ends before their deadlines

A run that the relay's own timer ends early shows as instance_failed reason=timeout, without the time that was left; a run that ends with its entry's connection leaves no line at all. Change: event run_cut, and RelayService::runCuts() for the metrics, name request, instance, reason, elapsed and remaining time. describeUnfinished() lists what a stop leaves.

--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -96,6 +96,7 @@
     call.request_id = call.request.request.headers.get(names_.request_id);
     call.fingerprint = quarantine::fingerprintOf(call.request.request);
     call.callback = std::move(callback);
+    call.entry_deadline = call.request.deadline;
     call.request.deadline = std::min(call.request.deadline, stop_deadline_.value_or(TimePoint::max()));
     if (call.request.known_rate_limit) {
         const auto incarnation = instance::incarnationName(call.request.instance, call.request.instance_start_ms);
@@ -284,6 +285,9 @@
         onConnectionFailed(id, std::move(result));
         return;
     }
+    if (result.outcome == AttemptOutcome::kUnknown && !isConnectionLost(result)) {
+        reportRunCut(*calls_[id], result.reason);
+    }
     if (result.outcome == AttemptOutcome::kResponded) {
         readSignals(calls_[id].get(), result.response);
     }
@@ -375,11 +379,54 @@
             AttemptResult lost;
             lost.outcome = AttemptOutcome::kUnknown;
             lost.reason = "next-life";
+            reportRunCut(*found->second, lost.reason);
             finish(id, resultOf(*found->second, std::move(lost)));
         }
     }
 }
 
+/// A timer that ends the run within `min_remaining` of the deadline counts as the deadline itself.
+void RelayService::reportRunCut(const Call& call, std::string_view cause) {
+    const auto now = clock_.now();
+    const auto remaining = call.entry_deadline - now;
+    if (remaining < knobs_.min_remaining) {
+        return;
+    }
+    const bool is_stop_limit = cause == kTimedOut && call.request.deadline < call.entry_deadline &&
+                               now + knobs_.min_remaining >= call.request.deadline;
+    const auto reason = is_stop_limit ? std::string_view("stop-limit") : cause;
+    ++run_cuts_[std::string(reason)];
+    if (!log_.accepts("run_cut")) {
+        return;
+    }
+    log_.write(Event("run_cut")
+                   .with("request", call.request_id)
+                   .with("instance", call.incarnation)
+                   .with("route", call.request.route)
+                   .with("reason", reason)
+                   .with("elapsed_ms", toMilliseconds(now - call.sent_at))
+                   .with("remaining_ms", toMilliseconds(remaining))
+                   .with("stopping", stop_deadline_ ? "yes" : "no"));
+}
+
+std::vector<Event> RelayService::describeUnfinished(std::string_view name, std::size_t limit) const {
+    std::vector<Event> events;
+    for (const auto& [id, call] : calls_) {
+        if (events.size() == limit) {
+            break;
+        }
+        const bool is_sent = call->attempt != nullptr;
+        events.push_back(Event(name)
+                             .with("request", call->request_id)
+                             .with("hop", "relay")
+                             .with("route", call->request.route)
+                             .with("instance", call->request.instance)
+                             .with("state", is_sent ? "at-work" : "waiting")
+                             .with("remaining_ms", toMilliseconds(call->entry_deadline - clock_.now())));
+    }
+    return events;
+}
+
 /// Converts the result of an attempt. Logs `instance_failed` if the instance sent no response.
 RelayResult RelayService::resultOf(const Call& call, AttemptResult result) {
     if (result.outcome == AttemptOutcome::kResponded) {
@@ -487,6 +534,10 @@
         return;
     }
     auto& call = *cancelled.mapped();
+    const auto is_lost = [id](const LostAttempt& it) { return it.id == id; };
+    if (call.attempt != nullptr && std::none_of(lost_attempts_.begin(), lost_attempts_.end(), is_lost)) {
+        reportRunCut(call, "cancelled");
+    }
     runs_.onCancelled(id);
     onRunEnded(call, false);
     call.attempt.reset();
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -106,6 +106,10 @@
     [[nodiscard]] SendTotals sendTotals() const;
     /// @return what the instance has said about itself in its responses.
     [[nodiscard]] const SignalHandler& signals() const { return signals_; }
+    /// Number of runs that this node has ended at the instance before their deadlines, by reason.
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& runCuts() const { return run_cuts_; }
+    /// @return an event named `name` for each unfinished call, with its state; `limit` at most.
+    [[nodiscard]] std::vector<Event> describeUnfinished(std::string_view name, std::size_t limit) const;
     [[nodiscard]] const decision::RetryTotals& retryTotals() const { return retries_.totals(); }
     [[nodiscard]] decision::RetryWindow retryWindow() { return retries_.window(); }
     /// Total of first attempts that another relay had already counted for its retry budget.
@@ -122,10 +126,11 @@
 private:
     /// A request from its start until its result.
     struct Call {
-        RelayRequest request;     ///< Without its HTTP request once that was sent.
-        std::string request_id;   ///< From the HTTP request.
-        std::string incarnation;  ///< Name of the incarnation to which the request was sent.
-        InstanceNotice notice;    ///< About this incarnation.
+        RelayRequest request;        ///< Without its HTTP request once that was sent.
+        std::string request_id;      ///< From the HTTP request.
+        TimePoint entry_deadline{};  ///< As the entry gave it; that of `request` may be earlier.
+        std::string incarnation;     ///< Name of the incarnation to which the request was sent.
+        InstanceNotice notice;       ///< About this incarnation.
         quarantine::Fingerprint fingerprint = 0;
         Callback callback;
         QueueRequest queue_request;   ///< Valid from when the call has entered the queue.
@@ -178,6 +183,9 @@
     void onCrash(const std::string& incarnation);
     void failRunsOf(const std::string& incarnation);
     void onInstanceResponded(const Call& call, ResponseKind kind);
+    /// Reports a run that this node has ended at the instance, unless its deadline had come.
+    /// @param cause as in AttemptResult::reason, or "cancelled".
+    void reportRunCut(const Call& call, std::string_view cause);
     RelayResult resultOf(const Call& call, AttemptResult result);
     RelayResult resultOfResponse(const Call& call, HttpResponse response);
     void onRunEnded(const Call& call, bool is_complete);
@@ -199,13 +207,14 @@
     ConnectionControl connections_;
     quarantine::RunTracker runs_;
     SignalHandler signals_;
-    SendTotals send_totals_;                  ///< Without the probes, which the crash detector counts.
-    std::vector<LostAttempt> lost_attempts_;  ///< Until the crash detector has decided.
-    std::string incarnation_;                 ///< Name of the current incarnation.
-    std::uint64_t start_ms_ = 0;              ///< Start time of the current incarnation; 0 if unknown.
-    std::string suspected_incarnation_;       ///< Incarnation that lost connections; the crash detector decides on it.
-    std::string crashed_incarnation_;  ///< Incarnation that crashed last; empty once the instance is ready again.
-    bool is_leaving_ = false;          ///< The current incarnation has announced its shutdown.
+    std::map<std::string, std::uint64_t> run_cuts_;  ///< By reason.
+    SendTotals send_totals_;                         ///< Without the probes, which the crash detector counts.
+    std::vector<LostAttempt> lost_attempts_;         ///< Until the crash detector has decided.
+    std::string incarnation_;                        ///< Name of the current incarnation.
+    std::uint64_t start_ms_ = 0;                     ///< Start time of the current incarnation; 0 if unknown.
+    std::string suspected_incarnation_;  ///< Incarnation that lost connections; the crash detector decides on it.
+    std::string crashed_incarnation_;    ///< Incarnation that crashed last; empty once the instance is ready again.
+    bool is_leaving_ = false;            ///< The current incarnation has announced its shutdown.
     sigc::signal<void(const quarantine::CrashNotice&)> signal_crashed_;
     InternalRouteDetector route_detector_;
     decision::InstanceDemand demand_;
