Name relay, time left and stop in the lines of a lost request, and what a stop leaves

Cause: relay_failed and request_given_up could not be joined with the relay's record, or with a stop of the entry; node_idle gives only the number of requests that a stop leaves. Change: relay_failed has route, offered, remaining_ms and stopping; request_given_up has the last relay and stopping. Event request_unfinished, 64 lines at most, follows a node_idle with in_flight above 0. The relay's name is moved, not copied, so that requests that succeed cost no more.

--- a/src/entry/call_intake.cc
+++ b/src/entry/call_intake.cc
@@ -80,6 +80,16 @@
     }
 }
 
+std::vector<std::string> CallIntake::waitingRequests(std::size_t limit) const {
+    std::vector<std::string> ids;
+    for (const auto& [id, it] : waiting_) {
+        if (ids.size() < limit) {
+            ids.emplace_back(it.request.headers.get(services_.names.request_id));
+        }
+    }
+    return ids;
+}
+
 void CallIntake::cancel(CallId id) {
     if (const auto ended = waiting_.extract(id); !ended.empty()) {
         services_.quota.cancel(ended.mapped().token);
--- a/src/entry/call_intake.h
+++ b/src/entry/call_intake.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <variant>
+#include <vector>
 
 #include "src/entry/access_check.h"
 #include "src/ports/clock.h"
@@ -54,6 +56,8 @@
     void cancel(CallId id);
     /// @return true while the request waits for a quota token.
     [[nodiscard]] bool isWaiting(CallId id) const { return waiting_.contains(id); }
+    /// @return the ids of the requests that wait for a quota token, from their headers; `limit` at most.
+    [[nodiscard]] std::vector<std::string> waitingRequests(std::size_t limit) const;
     [[nodiscard]] std::size_t waitingCount() const { return waiting_.size(); }
 
 private:
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -170,7 +170,11 @@
                             .with("request", plan_.request.headers.get(services_.names.request_id))
                             .with("peer", relay_)
                             .with("reason", reason)
-                            .with("sent", was_sent ? "yes" : "no"));
+                            .with("sent", was_sent ? "yes" : "no")
+                            .with("route", plan_.route->name())
+                            .with("offered", attempts_made_)
+                            .with("remaining_ms", toMilliseconds(remaining()))
+                            .with("stopping", stoppingText()));
     relay::RelayResult lost;
     lost.outcome = was_sent ? relay::RelayOutcome::kUnknown : relay::RelayOutcome::kNotRun;
     lost.reason = was_sent ? relay::RelayReason::kRelayLost : relay::RelayReason::kNotConnected;
@@ -181,7 +185,7 @@
 void EntryCall::onResult(relay::RelayResult result) {
     local_run_ = 0;
     const auto ended = std::exchange(attempt_, nullptr);
-    const auto relay = releaseRelay();
+    const auto& relay = releaseRelay();
     if (result.has_load) {
         services_.selector.onLoad(relay, result.load);
         services_.on_relay_result(plan_, relay, result);
@@ -296,10 +300,11 @@
 }
 
 /// Ends the accounting of the attempt in progress. @return its relay.
-std::string EntryCall::releaseRelay() {
+const std::string& EntryCall::releaseRelay() {
     services_.selector.onEnded(relay_);
     services_.failure_detector.onCallEnded(relay_);
-    return std::exchange(relay_, "");
+    last_relay_ = std::exchange(relay_, {});
+    return last_relay_;
 }
 
 std::optional<Duration> EntryCall::reservedReturn() const {
@@ -355,7 +360,9 @@
                             .with("offered", attempts_made_)
                             .with("refusals", rejections_)
                             .with("remaining_ms", toMilliseconds(remaining()))
-                            .with("table", services_.table.version()));
+                            .with("table", services_.table.version())
+                            .with("relay", last_relay_.empty() ? "none" : last_relay_)
+                            .with("stopping", stoppingText()));
 }
 
 void EntryCall::logAnswered(const relay::RelayResult& result, const std::string& relay) const {
@@ -373,6 +380,21 @@
                             .with("table", services_.table.version()));
 }
 
+const char* EntryCall::stoppingText() const {
+    return services_.directory.self().is_stopping() ? "yes" : "no";
+}
+
+Event EntryCall::describe(std::string_view name) const {
+    const bool is_sent = !relay_.empty();
+    return Event(name)
+        .with("request", plan_.request.headers.get(services_.names.request_id))
+        .with("hop", "entry")
+        .with("route", plan_.route->name())
+        .with("relay", is_sent ? relay_ : std::string("none"))
+        .with("state", is_sent ? "at-work" : "waiting")
+        .with("remaining_ms", toMilliseconds(remaining()));
+}
+
 /// The end callback must not destroy this call before it returns.
 void EntryCall::finish(HttpResponse response, EntryEnd end, const char* reason) {
     deadline_timer_.reset();
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -130,6 +130,8 @@
     /// Call when a node does not respond to probes. An idempotent request that was sent to this node is retried at
     /// another relay; any other keeps waiting, as the node may still respond.
     void onNodeUnresponsive(const std::string& node);
+    /// @return an event named `name` that tells the state of this call.
+    [[nodiscard]] Event describe(std::string_view name) const;
 
 private:
     void sendToNext();
@@ -141,7 +143,7 @@
     void onRelayResponse(AttemptResult result);
     void onSuperseded(const relay::ReceivedResult& received);
     void onRelayLost(const std::string& reason, bool was_sent);
-    std::string releaseRelay();
+    const std::string& releaseRelay();
     void onResult(relay::RelayResult result);
     [[nodiscard]] static bool isInstanceFailure(const relay::RelayResult& result);
     [[nodiscard]] bool mayRetryFailure(const relay::RelayResult& result) const;
@@ -155,6 +157,8 @@
     void finish(HttpResponse response, EntryEnd end, const char* reason);
     void logFailed(const char* reason, int status) const;
     void logAnswered(const relay::RelayResult& result, const std::string& relay) const;
+    /// @return whether this node is stopping, as logged.
+    [[nodiscard]] const char* stoppingText() const;
     [[nodiscard]] Duration remaining() const { return plan_.deadline - services_.clock.now(); }
 
     EntryServices& services_;
@@ -166,6 +170,7 @@
     TimerHandle instance_wait_timer_;            ///< Set while the call waits for an instance to become ready.
     sigc::connection on_node_changed_;           ///< Connected while the call waits for an instance.
     std::string relay_;                          ///< Node of the attempt in progress; empty: none.
+    std::string last_relay_;                     ///< Node of the last attempt that has ended; empty: none.
     std::string instance_;                       ///< Id of the instance that the attempt is for.
     AttemptHandle attempt_;                      ///< Attempt at another node's relay.
     TimePoint sent_{};                           ///< When `attempt_` was sent.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kStopCheckInterval = 50ms;
+/// Requests that a stop names if it leaves them unfinished; `in_flight` counts them all.
+constexpr std::size_t kMaxUnfinishedLines = 64;
 /// Reason of a call that no instance could take.
 constexpr std::string_view kNoInstanceReason = "no-instance";
 
@@ -482,10 +484,29 @@
                              .with("in_flight", inFlight())
                              .with("delivered", has_delivered ? "yes" : "no")
                              .with("after_ms", toMilliseconds(elapsed)));
+        logUnfinished();
         stop_callbacks_.done();
         return;
     }
     stop_timer_ = ports_.clock.startTimer(kStopCheckInterval, [this] { checkStopped(); });
 }
 
+void SidecarNode::logUnfinished() const {
+    std::size_t lines = 0;
+    for (const auto& request : intake_.waitingRequests(kMaxUnfinishedLines)) {
+        ports_.log.write(Event("request_unfinished").with("request", request).with("hop", "quota"));
+        ++lines;
+    }
+    for (const auto& [call_id, call] : calls_) {
+        if (lines >= kMaxUnfinishedLines) {
+            return;
+        }
+        ports_.log.write(call->describe("request_unfinished"));
+        ++lines;
+    }
+    for (const auto& event : relay_.describeUnfinished("request_unfinished", kMaxUnfinishedLines - lines)) {
+        ports_.log.write(event);
+    }
+}
+
 }  // namespace dewcrank::sidecar
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -71,6 +71,7 @@
 ///   node_stopping         a graceful shutdown has started
 ///   node_idle             the shutdown has ended, with `in_flight` calls unfinished; `delivered` shows whether all
 ///                         replies were received
+///   request_unfinished    a request that the shutdown left unfinished
 class SidecarNode {
 public:
     using CallId = std::uint64_t;
@@ -162,6 +163,8 @@
     void onNodeUnresponsive(const std::string& name);
     void onDrained();
     void checkStopped();
+    /// Logs the requests that a stop leaves unfinished.
+    void logUnfinished() const;
 
     Ports ports_;
     Settings settings_;
