Report responses that their clients have not received, and log a stop without limits

Change: HttpServer reports such responses to an observer with the bytes delivered. The daemon logs response_cut if the node ended the connection, which no limit drops, and client_left if the client did, which is limited like request_answered. From node_stopping on nothing is dropped. Metrics dewcrank_response_cuts and dewcrank_run_cuts count all of them. What the end of the process cuts is closed, and reported, before node_stopped instead of right after it.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -50,7 +50,8 @@
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       process_log_(""),
-      log_(loop_, process_log_, {"request_answered", "relayed"}, {}),
+      log_(loop_, process_log_, {"request_answered", "relayed", "client_left"}, {}, {"response_cut"}),
+      cut_log_(log_),
       random_(std::random_device{}()),
       nodes_(loop_, kDefaultLimits, nodeClientOptions()),
       instances_(loop_, kDefaultLimits, instanceClientOptions(platform(nodes_, loop_, settings_).header_names)),
@@ -71,6 +72,9 @@
                       [this](const HttpRequest&, const Exchange& exchange) { onMetricsRequest(exchange); }) {
     node_.signalCallEnded().connect([this](const entry::EntryReport& report) { metrics_.onCallEnded(report); });
     node_.table().signalAdopted().connect([this] { applyTableLimits(); });
+    const auto& request_id = platform_.header_names.request_id;
+    callers_.observeCuts(request_id, [this](const auto& cut) { cut_log_.onCut("callers", cut, node_.isStopping()); });
+    node_server_.observeCuts(request_id, [this](const auto& cut) { cut_log_.onCut("nodes", cut, node_.isStopping()); });
 }
 
 sidecar::Settings SidecarDaemon::nodeSettings() const {
@@ -122,6 +126,8 @@
                    .with("seeds", settings_.seeds.size()));
     node_.start();
     loop_.run();
+    callers_.closeAll(end_reason_);
+    node_server_.closeAll(end_reason_);
     log_.write(Event("node_stopped"));
 }
 
@@ -129,6 +135,7 @@
     if (node_.isStopping()) {
         return;
     }
+    log_.liftLimits();
     callers_.closeAfterResponses();
     node_.stop({[this] {
                     callers_.stopAccepting();
@@ -136,6 +143,9 @@
                 },
                 [this] { return callers_.hasDeliveredAll() && node_server_.hasDeliveredAll(); },
                 [this] {
+                    const bool has_delivered = callers_.hasDeliveredAll() && node_server_.hasDeliveredAll();
+                    const bool is_idle = node_.inFlight() == 0 && has_delivered;
+                    end_reason_ = is_idle ? adapters::CutReason::kProcessEnd : adapters::CutReason::kStopLimit;
                     callers_.closeIdleConnections();
                     flush_timer_ = loop_.startTimer(kFlushTime, [this] { loop_.stop(); });
                 }});
@@ -202,6 +212,7 @@
     stats.instance_connections = instances_.openConnections();
     stats.instance_connections_total = instances_.totalConnections();
     stats.heartbeats_rejected = rejected_heartbeats_;
+    stats.response_cuts = cut_log_.totals();
     stats.log_lines_dropped = adapters::ProcessLog::droppedLines();
     exchange->reply(makeResponse(kHttpOk, "text/plain; version=0.0.4", metrics_.text(node_, stats)));
 }
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -10,6 +10,7 @@
 #include "src/adapters/http_server.h"
 #include "src/adapters/process_log.h"
 #include "src/adapters/rate_limited_log.h"
+#include "src/adapters/response_cut_log.h"
 #include "src/adapters/seeded_random.h"
 #include "src/adapters/sidecar_metrics.h"
 #include "src/adapters/sidecar_settings.h"
@@ -70,6 +71,7 @@
     adapters::EventLoop loop_;
     adapters::ProcessLog process_log_;
     adapters::RateLimitedLog log_;
+    adapters::ResponseCutLog cut_log_;
     adapters::SidecarMetrics metrics_;
     adapters::SeededRandom random_;
     adapters::HttpClient nodes_;       ///< Client for other nodes.
@@ -83,6 +85,8 @@
     adapters::HttpServer readiness_;       ///< Readiness probes of the platform.
     adapters::HttpServer metrics_server_;  ///< Prometheus scrapes.
     std::uint64_t rejected_heartbeats_ = 0;
+    /// Reported for the responses that the end of the process cuts.
+    adapters::CutReason end_reason_ = adapters::CutReason::kProcessEnd;
     TimerHandle flush_timer_;
 };
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -29,8 +29,12 @@
 
 // Exchange -----------------------------------------------------------------
 
-ServerExchange::ServerExchange(ServerConnection* connection, std::string method, bool keep_alive)
-    : connection_(connection), method_(std::move(method)), keep_alive_(keep_alive) {}
+ServerExchange::ServerExchange(ServerConnection* connection, std::string method, std::string request_id,
+                               bool keep_alive)
+    : connection_(connection),
+      method_(std::move(method)),
+      request_id_(std::move(request_id)),
+      keep_alive_(keep_alive) {}
 
 void ServerExchange::reply(HttpResponse response) {
     if (connection_ == nullptr || is_replied_) {
@@ -52,7 +56,7 @@
     if (connection_ != nullptr) {
         const auto keep = shared_from_this();
         on_client_disconnected_ = nullptr;
-        connection_->close();
+        connection_->close(CutReason::kAborted);
     }
 }
 
@@ -65,11 +69,20 @@
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
     }
+    closeAll(CutReason::kProcessEnd);
+}
+
+void HttpServer::closeAll(CutReason reason) {
     while (!connections_.empty()) {
-        (*connections_.begin())->close();
+        (*connections_.begin())->close(reason);
     }
 }
 
+void HttpServer::observeCuts(std::string request_id_header, ResponseCutObserver observer) {
+    request_id_header_ = std::move(request_id_header);
+    cut_observer_ = std::move(observer);
+}
+
 Result<SocketAddress> HttpServer::listen(const SocketAddress& address) {
     sockaddr_in target{};
     target.sin_family = AF_INET;
@@ -117,9 +130,11 @@
     }
 }
 
-void HttpServer::onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
+void HttpServer::onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr* address, int length, void* self) {
     auto* server = static_cast<HttpServer*>(self);
-    server->connections_.insert(new ServerConnection(*server, descriptor));
+    sockaddr_in peer{};
+    std::memcpy(&peer, address, std::min(sizeof peer, static_cast<std::size_t>(length)));
+    server->connections_.insert(new ServerConnection(*server, descriptor, peer));
 }
 
 }  // namespace dewcrank::adapters
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -13,6 +13,7 @@
 
 #include "src/adapters/event_loop.h"
 #include "src/adapters/http_parser.h"
+#include "src/adapters/response_cut.h"
 #include "src/adapters/socket_address.h"
 #include "src/base/error.h"
 #include "src/base/http_message.h"
@@ -26,7 +27,8 @@
 /// Only the first call of `reply` has an effect, and none after the client has disconnected.
 class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
 public:
-    ServerExchange(ServerConnection* connection, std::string method, bool keep_alive);
+    /// @param request_id reported if the response is cut; empty: a cut is not reported.
+    ServerExchange(ServerConnection* connection, std::string method, std::string request_id, bool keep_alive);
     ServerExchange(const ServerExchange&) = delete;
     ServerExchange& operator=(const ServerExchange&) = delete;
 
@@ -41,6 +43,7 @@
     friend class ServerConnection;
     ServerConnection* connection_;  ///< Null once the response is written or the connection is closed.
     std::string method_;
+    std::string request_id_;
     bool keep_alive_;
     bool is_replied_ = false;
     HttpResponse response_;
@@ -73,6 +76,11 @@
     Result<SocketAddress> listen(const SocketAddress& address);
     /// Sets the size limits of new connections, and the timeouts that are started from now on.
     void setLimits(HttpLimits limits, ServerTimeouts timeouts);
+    /// Reports the responses that clients do not receive, of requests with an id.
+    /// @param request_id_header name of the header with the id.
+    void observeCuts(std::string request_id_header, ResponseCutObserver observer);
+    /// Closes all connections, as the destructor does. @param reason reported for the responses that this cuts.
+    void closeAll(CutReason reason);
     /// Closes each connection after its next response, or after the last one if requests are pipelined; a request
     /// behind a pending one is not taken any more. New connections are still accepted.
     void closeAfterResponses() { close_after_response_ = true; }
@@ -97,6 +105,8 @@
     HttpLimits limits_;
     ServerTimeouts timeouts_;
     Handler handler_;
+    std::string request_id_header_;
+    ResponseCutObserver cut_observer_;  ///< Null: cuts are not reported.
     evconnlistener* listener_ = nullptr;
     bool close_after_response_ = false;
     std::set<ServerConnection*> connections_;
--- a/src/adapters/rate_limited_log.cc
+++ b/src/adapters/rate_limited_log.cc
@@ -5,10 +5,11 @@
 namespace dewcrank::adapters {
 
 RateLimitedLog::RateLimitedLog(Clock& clock, EventLog& log, std::set<std::string, std::less<>> routine_events,
-                               LogRateLimits limits)
+                               LogRateLimits limits, std::set<std::string, std::less<>> unlimited_events)
     : clock_(clock),
       log_(log),
       routine_events_(std::move(routine_events)),
+      unlimited_events_(std::move(unlimited_events)),
       routine_{0, limits.routine_lines},
       other_{0, limits.other_lines} {}
 
@@ -19,20 +20,24 @@
     return routine_events_.contains(name) ? routine_ : other_;
 }
 
+bool RateLimitedLog::isLimited(std::string_view name) const {
+    return has_limits_ && !unlimited_events_.contains(name);
+}
+
 bool RateLimitedLog::accepts(std::string_view name) {
     const auto& quota = quotaOf(name);
-    const bool is_allowed = quota.lines < quota.limit;
+    const bool is_allowed = quota.lines < quota.limit || !isLimited(name);
     dropped_ += is_allowed ? 0 : 1;
     return is_allowed;
 }
 
 void RateLimitedLog::write(const Event& event) {
     auto& quota = quotaOf(event.name());
-    if (quota.lines >= quota.limit) {
+    if (quota.lines >= quota.limit && isLimited(event.name())) {
         ++dropped_;
         return;
     }
-    ++quota.lines;
+    quota.lines += isLimited(event.name()) ? 1 : 0;
     log_.write(event);
 }
 
--- a/src/adapters/rate_limited_log.h
+++ b/src/adapters/rate_limited_log.h
@@ -25,11 +25,14 @@
 public:
     /// @param log the log that receives the events within the limits.
     /// @param routine_events names of the events that the limit `routine_lines` applies to.
-    RateLimitedLog(Clock& clock, EventLog& log, std::set<std::string, std::less<>> routine_events,
-                   LogRateLimits limits);
+    /// @param unlimited_events names of the events that are never dropped.
+    RateLimitedLog(Clock& clock, EventLog& log, std::set<std::string, std::less<>> routine_events, LogRateLimits limits,
+                   std::set<std::string, std::less<>> unlimited_events = {});
     void write(const Event& event) override;
     /// @return false if the limit of this event name is reached; the event then counts as dropped.
     [[nodiscard]] bool accepts(std::string_view name) override;
+    /// Drops no event from now on. For the stop of a node, which is short and whose record must be complete.
+    void liftLimits() { has_limits_ = false; }
 
 private:
     /// Lines written in the current second, and their limit.
@@ -38,12 +41,15 @@
         std::uint32_t limit = 0;
     };
     Quota& quotaOf(std::string_view name);
+    [[nodiscard]] bool isLimited(std::string_view name) const;
     /// Resets the quotas, and logs the number of events dropped since the last reset.
     void startNewSecond();
 
     Clock& clock_;
     EventLog& log_;
     std::set<std::string, std::less<>> routine_events_;
+    std::set<std::string, std::less<>> unlimited_events_;
+    bool has_limits_ = true;
     TimePoint second_start_{};
     Quota routine_;              ///< For the events in `routine_events_`.
     Quota other_;                ///< For all other events.
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -23,8 +23,11 @@
 
 }  // namespace
 
-ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t descriptor)
-    : server_(server), stream_(server.loop_, *this), parser_(HttpMessageParser::Kind::kRequest, server.limits_) {
+ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t descriptor, const sockaddr_in& peer)
+    : server_(server),
+      stream_(server.loop_, *this),
+      peer_(peer),
+      parser_(HttpMessageParser::Kind::kRequest, server.limits_) {
     stream_.setReadAhead(kReadAhead);
     stream_.setWriteTimeout(kWriteTimeout);
     stream_.accept(descriptor);
@@ -37,7 +40,7 @@
 
 void ServerConnection::closeWhenIdle() {
     if (isIdle()) {
-        close();
+        close(CutReason::kProcessEnd);
         return;
     }
     stopReading();
@@ -50,13 +53,14 @@
     return server_.close_after_response_ || close_after_response_;
 }
 
-void ServerConnection::close() {
+void ServerConnection::close(CutReason reason) {
     if (is_closed_) {
         return;
     }
     is_closed_ = true;
     stream_.stop();
     const auto pending = std::exchange(pending_, {});
+    reportCuts(pending, reason);
     for (const auto& exchange : pending) {
         exchange->connection_ = nullptr;
     }
@@ -72,6 +76,55 @@
     }
 }
 
+void ServerConnection::onClosed(CloseReason reason) {
+    switch (reason) {
+        case CloseReason::kEndOfStream:
+            close(CutReason::kPeerClosed);
+            return;
+        case CloseReason::kWriteTimeout:
+            close(CutReason::kWriteTimeout);
+            return;
+        case CloseReason::kError:
+            close(CutReason::kReset);
+    }
+}
+
+/// A FIN that the client's host has not acknowledged counts as a byte of the socket's output.
+std::uint64_t ServerConnection::acknowledgedBytes() const {
+    const auto missing = stream_.unacknowledgedBytes();
+    const std::size_t fin = close_after_write_ && stream_.unsentBytes() == 0 && missing > 0 ? 1 : 0;
+    return written_bytes_ - std::min<std::uint64_t>(written_bytes_, missing - fin);
+}
+
+void ServerConnection::reportCuts(const std::deque<std::shared_ptr<ServerExchange>>& pending, CutReason reason) {
+    if (!server_.cut_observer_ || (sent_.empty() && pending.empty())) {
+        return;
+    }
+    ResponseCut cut;
+    cut.peer = peer_;
+    cut.reason = reason;
+    const auto acknowledged = sent_.empty() ? 0 : acknowledgedBytes();
+    for (const auto& response : sent_) {
+        if (response.end > acknowledged) {
+            const auto begin = response.end - response.size;
+            cut.request_id = response.request_id;
+            cut.is_queued = true;
+            cut.delivered = acknowledged - std::min(acknowledged, begin);
+            cut.total = response.size;
+            server_.cut_observer_(cut);
+        }
+    }
+    cut.delivered = 0;
+    cut.total = 0;
+    for (const auto& exchange : pending) {
+        if (!exchange->request_id_.empty()) {
+            cut.request_id = exchange->request_id_;
+            cut.is_queued = exchange->is_replied_;
+            server_.cut_observer_(cut);
+        }
+    }
+}
+
 std::size_t ServerConnection::onBytes(std::string_view bytes) {
     std::size_t consumed = 0;
     while (consumed < bytes.size() && readsRequests()) {
@@ -113,7 +166,7 @@
 void ServerConnection::sendContinueIfExpected() {
     if (parser_.hasCompleteHead() && parser_.expectsContinue() && !continue_sent_ && pending_.empty()) {
         continue_sent_ = true;
-        stream_.write(kContinue, {});
+        write(kContinue, {});
     }
 }
 
@@ -132,7 +185,11 @@
         reject(kHttpBadRequest);
         return;
     }
-    auto exchange = std::make_shared<ServerExchange>(this, request.method, keep_alive);
+    std::string request_id;
+    if (server_.cut_observer_) {
+        request_id = request.headers.get(server_.request_id_header_);
+    }
+    auto exchange = std::make_shared<ServerExchange>(this, request.method, std::move(request_id), keep_alive);
     pending_.push_back(exchange);
     is_reading_done_ = !keep_alive;
     server_.handler_(std::move(request), exchange);
@@ -165,16 +222,16 @@
         // The requests behind it were taken already, so only the last response may close the connection.
         const bool close_connection =
             pending_.empty() && pending_error_status_ == 0 && (closesAfterResponse() || !exchange->keep_alive_);
-        writeResponse(*exchange, close_connection);
+        writeResponse(exchange.get(), close_connection);
         if (close_connection) {
             stopReading();
             close_after_write_ = true;
         }
     }
     if (pending_.empty() && pending_error_status_ != 0) {
-        ServerExchange rejection(nullptr, "GET", false);
+        ServerExchange rejection(nullptr, "GET", "", false);
         rejection.response_.status = std::exchange(pending_error_status_, 0);
-        writeResponse(rejection, true);
+        writeResponse(&rejection, true);
         close_after_write_ = true;
     }
     if (stream_.unconsumedBytes() > 0) {
@@ -184,15 +241,27 @@
     updateDeadline();
 }
 
-void ServerConnection::writeResponse(const ServerExchange& exchange, bool close_connection) {
-    const auto& response = exchange.response_;
+void ServerConnection::write(std::string_view head, std::string_view body) {
+    written_bytes_ += head.size() + body.size();
+    stream_.write(head, body);
+}
+
+void ServerConnection::writeResponse(ServerExchange* exchange, bool close_connection) {
+    const auto& response = exchange->response_;
     const bool has_body = response.status != kNoContent && response.status != kNotModified;
     const auto* reason = http_status_str(static_cast<http_status>(response.status));
     const auto line = "HTTP/1.1 " + std::to_string(response.status) + " " + reason;
     const auto size = has_body ? static_cast<long long>(response.body.size()) : -1;
     const auto head = writeHead(line, response.headers, {size, close_connection, {}});
-    const bool sends_body = has_body && exchange.method_ != "HEAD";
-    stream_.write(head, sends_body ? std::string_view(response.body) : std::string_view());
+    const bool sends_body = has_body && exchange->method_ != "HEAD";
+    const auto body = sends_body ? std::string_view(response.body) : std::string_view();
+    write(head, body);
+    if (!exchange->request_id_.empty()) {
+        if (sent_.size() == kMaxPipelined) {
+            sent_.pop_front();
+        }
+        sent_.push_back({std::move(exchange->request_id_), written_bytes_, head.size() + body.size()});
+    }
 }
 
 void ServerConnection::onWritten() {
@@ -246,7 +315,7 @@
     } else if (pending_.empty() && !parser_.hasStarted() && !isIdle()) {
         updateDeadline();  // The client's host has not received all of the last response yet.
     } else {
-        close();
+        close(CutReason::kIdleTimeout);
     }
 }
 
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -15,7 +15,7 @@
 /// connection closes, it deregisters at the server, which destroys it.
 class ServerConnection : private SocketStream::Listener {
 public:
-    ServerConnection(HttpServer& server, evutil_socket_t descriptor);
+    ServerConnection(HttpServer& server, evutil_socket_t descriptor, const sockaddr_in& peer);
     ~ServerConnection() override = default;
     ServerConnection(const ServerConnection&) = delete;
     ServerConnection& operator=(const ServerConnection&) = delete;
@@ -27,13 +27,14 @@
     [[nodiscard]] bool isIdle() const;
     /// Takes no further request, and closes once the client's host has the responses to those that were taken.
     void closeWhenIdle();
-    /// Closes at once, and runs the disconnect callbacks of pending exchanges. The loop destroys this object later.
-    void close();
+    /// Closes at once, reports the responses that this cuts, and runs the disconnect callbacks of pending exchanges.
+    /// The loop destroys this object later.
+    void close(CutReason reason);
 
 private:
     std::size_t onBytes(std::string_view bytes) override;
     void onWritten() override;
-    void onClosed(CloseReason) override { close(); }
+    void onClosed(CloseReason reason) override;
     [[nodiscard]] bool closesAfterResponse() const;
     /// @return whether the next bytes may be a request that is taken.
     bool readsRequests();
@@ -46,7 +47,19 @@
     void rejectUnparsed(HttpMessageParser::State state);
     /// Stops reading; after the pending responses it sends a response with this status and closes.
     void reject(int status);
-    void writeResponse(const ServerExchange& exchange, bool close_connection);
+    /// A response that was written, until it is known that the client's host has it.
+    struct SentResponse {
+        std::string request_id;
+        std::uint64_t end = 0;  ///< Position in the output at which it ends.
+        std::uint64_t size = 0;
+    };
+    /// Reports each response that is due, or not completely acknowledged.
+    void reportCuts(const std::deque<std::shared_ptr<ServerExchange>>& pending, CutReason reason);
+    /// @return the number of bytes of the output that the client's host has acknowledged.
+    [[nodiscard]] std::uint64_t acknowledgedBytes() const;
+    void write(std::string_view head, std::string_view body);
+    /// Takes the id of the request from the exchange.
+    void writeResponse(ServerExchange* exchange, bool close_connection);
     /// Shuts down the sending side once all output is written, if the connection is to close.
     void shutdownIfWritten();
     /// Sets `deadline_` for the current state: reading a head, idle, closing, or waiting for the handler.
@@ -56,8 +69,11 @@
 
     HttpServer& server_;
     SocketStream stream_;
+    sockaddr_in peer_;  ///< Kept, since a socket that was reset no longer tells it.
     HttpMessageParser parser_;
     std::deque<std::shared_ptr<ServerExchange>> pending_;  ///< Requests without a written response, oldest first.
+    std::deque<SentResponse> sent_;      ///< The last ones of requests with an id, if the server reports cuts.
+    std::uint64_t written_bytes_ = 0;    ///< Output since the connection was accepted.
     std::optional<TimePoint> deadline_;  ///< When the connection times out; unset while a response is due or sent.
     TimePoint timer_expiry_{};           ///< When `timer_` fires: not later than `deadline_`.
     TimerHandle timer_;
--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -51,6 +51,25 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
 }
 
+void SidecarMetrics::setCutGauges(const sidecar::SidecarNode& node, const AdapterStats& stats) {
+    for (const auto& [key, count] : stats.response_cuts) {
+        prometheus::BuildGauge()
+            .Name("dewcrank_response_cuts")
+            .Help("Responses that clients have not received completely, since the start.")
+            .Register(registry_)
+            .Add({{"server", key.first}, {"reason", key.second}})
+            .Set(static_cast<double>(count));
+    }
+    for (const auto& [reason, count] : node.relay().runCuts()) {
+        prometheus::BuildGauge()
+            .Name("dewcrank_run_cuts")
+            .Help("Runs that this node has ended at the instance before their deadlines, since the start.")
+            .Register(registry_)
+            .Add({{"reason", reason}})
+            .Set(static_cast<double>(count));
+    }
+}
+
 std::string SidecarMetrics::text(sidecar::SidecarNode& node, const AdapterStats& stats) {
     const auto instance_load = node.relay().load();
     setGauge("dewcrank_instance_running", "Calls that the instance has.", instance_load.running);
@@ -142,6 +161,7 @@
              static_cast<double>(stats.instance_connections_total));
     setGauge("dewcrank_log_lines_dropped", "Lines that their reader did not take.",
              static_cast<double>(stats.log_lines_dropped));
+    setCutGauges(node, stats);
     for (const auto& [key, count] : node.counters().wasted_executions) {
         prometheus::BuildGauge()
             .Name("dewcrank_wasted_executions")
--- a/src/adapters/sidecar_metrics.h
+++ b/src/adapters/sidecar_metrics.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "src/adapters/response_cut_log.h"
 #include "src/sidecar/sidecar_node.h"
 
 namespace dewcrank::adapters {
@@ -18,6 +19,7 @@
     std::size_t instance_connections = 0;          ///< Open connections to the local instance.
     std::uint64_t instance_connections_total = 0;  ///< Connections opened to the local instance since the start.
     std::uint64_t heartbeats_rejected = 0;         ///< Invalid, or for an unknown service.
+    ResponseCutLog::Totals response_cuts;          ///< See ResponseCutLog.
     std::uint64_t log_lines_dropped = 0;           ///< See ProcessLog::droppedLines.
 };
 
@@ -32,6 +34,7 @@
 
 private:
     void setGauge(const char* name, const char* help, double value);
+    void setCutGauges(const sidecar::SidecarNode& node, const AdapterStats& stats);
 
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Counter>& calls_;
--- a/tests/unit/adapters/event_names_test.cc
+++ b/tests/unit/adapters/event_names_test.cc
@@ -13,7 +13,8 @@
 const std::filesystem::path kSource = DEWCRANK_SOURCE_DIR;
 const char* const kFolders[] = {"src/sidecar",  "src/entry",      "src/relay", "src/fleet",
                                 "src/instance", "src/quarantine", "src/quota", "apps/sidecar"};
-const char* const kFiles[] = {"src/adapters/rate_limited_log.cc", "src/adapters/process_log.cc"};
+const char* const kFiles[] = {"src/adapters/rate_limited_log.cc", "src/adapters/process_log.cc",
+                              "src/adapters/response_cut_log.cc"};
 
 std::string readFile(const std::filesystem::path& file) {
     std::ifstream stream(file);
--- a/tests/unit/adapters/rate_limited_log_test.cc
+++ b/tests/unit/adapters/rate_limited_log_test.cc
@@ -43,4 +43,38 @@
     BOOST_TEST(output.lines.at(2) == "event=events_left_out count=8");
 }
 
+/// Guards against an unlimited event that is dropped with the others, or that uses up their limit.
+BOOST_AUTO_TEST_CASE(unlimited_events_are_never_dropped) {
+    tests::VirtualTime time;
+    tests::RecordingLog output;
+    adapters::RateLimitedLog log(time.clock, output, {"routine"}, {2, 3}, {"response_cut"});
+    time.advance(10s);
+    for (int count = 0; count < 10; ++count) {
+        BOOST_TEST(log.accepts("response_cut"));
+        log.write(Event("response_cut"));
+    }
+    for (int count = 0; count < 5; ++count) {
+        log.write(Event("failure"));
+    }
+    BOOST_TEST(output.lines.size() == 13U);
+}
+
+/// Guards against a record of a stop in which routine events are missing.
+BOOST_AUTO_TEST_CASE(no_event_is_dropped_once_the_limits_are_lifted) {
+    tests::VirtualTime time;
+    tests::RecordingLog output;
+    adapters::RateLimitedLog log(time.clock, output, {"routine"}, {2, 3});
+    time.advance(10s);
+    for (int count = 0; count < 10; ++count) {
+        log.write(Event("routine"));
+    }
+    BOOST_TEST(output.lines.size() == 2U);
+    log.liftLimits();
+    for (int count = 0; count < 10; ++count) {
+        BOOST_TEST(log.accepts("routine"));
+        log.write(Event("routine"));
+    }
+    BOOST_TEST(output.lines.size() == 12U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
