Ask one more relay for a retry that two budgets deny

Cause: a retry asked the budget of the relay where the request failed and that of the next one, and was then given up, whatever the other relays had left. In the known red test, m2 had spent 6 of 16.75 and 2 of 14.25 when m0 and m1 denied the retries that broke the limit, 12 to 19 s after the relays' start. Change: after a denial the entry asks one more relay, if one is left that it can reach (EntryKnobs::max_budget_denials). Each relay still spends by its own requests, so the bound over all relays is unchanged.

--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -253,7 +253,7 @@
     const bool is_first = rejections_ == 0 && attempts_made_ == 0;
     has_met_only_stopping_ = (is_first || has_met_only_stopping_) && result.reason == relay::RelayReason::kStopping;
     const bool is_final =
-        is_quarantined_ || result.reason == relay::RelayReason::kRetryBudget ||
+        is_quarantined_ || (result.reason == relay::RelayReason::kRetryBudget && !mayAskOtherBudget()) ||
         result.reason == relay::RelayReason::kDeadline ||
         (result.reason != relay::RelayReason::kSuperseded && ++rejections_ >= services_.knobs.max_rejections) ||
         (result.reason == relay::RelayReason::kInstanceRefused && !plan_.may_retry) ||
@@ -265,6 +265,13 @@
     sendToNext();
 }
 
+/// Each relay has its own part of the retry budget: that of another relay may have capacity left. The number of relays
+/// is limited, so that a failure of many instances does not multiply the requests to relays.
+bool EntryCall::mayAskOtherBudget() {
+    return ++budget_denials_ < services_.knobs.max_budget_denials &&
+           services_.selector.hasReachableRelay(plan_.service, tried_);
+}
+
 void EntryCall::onUnknown() {
     may_have_run_ = true;
     const bool may_retry = plan_.route->is_repeatable() || services_.disabled.idempotency_check;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -33,8 +33,11 @@
 struct EntryKnobs {
     double max_queue_wait_ratio = 0.25;  ///< Longest wait in a relay's queue, as a share of the latency objective.
     double instance_wait_ratio =
-        0.125;                         ///< Wait for an instance if none is known, as a share of the latency objective.
-    std::size_t max_rejections = 3;    ///< Relays that may reject a request before the call fails.
+        0.125;                       ///< Wait for an instance if none is known, as a share of the latency objective.
+    std::size_t max_rejections = 3;  ///< Relays that may reject a request before the call fails.
+    /// Relays that may deny a retry by their part of the retry budget before it is given up; the relay where the
+    /// request failed is not counted.
+    std::size_t max_budget_denials = 2;
     Duration min_retry_after = 150ms;  ///< `Retry-After` is random, uniform between these two.
     Duration max_retry_after = 500ms;
     Duration min_overload_retry_after = 500ms;  ///< These two apply if the call failed because of overload.
@@ -146,6 +149,7 @@
     [[nodiscard]] static bool isInstanceFailure(const relay::RelayResult& result);
     [[nodiscard]] bool mayRetryFailure(const relay::RelayResult& result) const;
     void onNotRun(const relay::RelayResult& result);
+    [[nodiscard]] bool mayAskOtherBudget();
     void onUnknown();
     void onDeadline();
     void fail(const char* reason, bool is_timeout);
@@ -172,6 +176,7 @@
     relay::RelayService::CallId local_run_ = 0;  ///< Attempt at this node's own relay; 0: none.
     std::set<std::string> tried_;                ///< Nodes that are not tried again.
     std::size_t rejections_ = 0;                 ///< Relays that have rejected the request.
+    std::size_t budget_denials_ = 0;             ///< Relays whose retry budget has denied a retry.
     std::uint32_t attempts_made_ = 0;            ///< Attempts in which an instance was sent the request.
     bool is_retry_paid_ = false;                 ///< The last relay has taken the retry from its budget.
     bool is_counted_ = false;                    ///< A relay has counted the request among its service's requests.
--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -421,6 +421,27 @@
     }
 }
 
+/// Guards against retries that multiply the calls to relays when all instances of a service fail: a request is sent to
+/// its first relay, and its retry to two more at most.
+BOOST_AUTO_TEST_CASE(few_relays_receive_a_retry_that_budgets_deny) {
+    auto leaf = instanceOptions("leaf", 20ms, 30);
+    leaf.error_share = 1;
+    sim::SidecarFleet fleet(1, {{leaf, 6}, {instanceOptions("browse", 20ms, 10), 3}});
+    fleet.putTable("leaf", "leaf", "leaf");
+    fleet.runFor(4s);
+    fleet.generateLoad(60, fleet.queue().now() + 8s, 0);
+    fleet.runFor(10s);
+    std::uint64_t calls = 0;
+    for (std::size_t machine = 0; machine < 6; ++machine) {
+        calls += fleet.node(machine)->counters().relayed;
+    }
+    const auto requests = fleet.requests().size();
+    BOOST_TEST(fleet.countResponses(kHttpInternalServerError) == requests);
+    BOOST_TEST(calls > requests);
+    BOOST_TEST(calls <= 3 * requests, calls << " calls for " << requests << " requests");
+    BOOST_TEST(fleet.violations().empty());
+}
+
 /// Internal calls that fail were retried already. A retry of the calling run would repeat all calls of its tree.
 /// @return the number of runs that were retried.
 std::ptrdiff_t retriedRunsOfFailedCalls(std::uint64_t seed) {
