Take no samples of runs by default, and let instances say that their time is out

A reviewer who had not seen the work named what that left: a call of a sample fails a hop's margin before the sample ends, so that the instance answers 500; a second run is not bounded by the retry budget; a run that needs over half of its time never ends once sampled; a draining instance hands its sample back early.

Cause: time is taken from a caller's request for the node's own purposes; and two ends of a run are set to the same moment.

Change: a run is handed all of its request's time, whatever its kind. Samples are a switch, overload.call_samples, off in all deployments, never for requests that must not run twice, never while the node stops; the second run is gone. Calls to a callee that is not judged yet count for the runs that end after it is, and 50 calls judge it, not 20.

--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -203,6 +203,7 @@
             [](const SidecarSettings& settings) { return inMilliseconds(settings.stop_grace) / 1e3; }),
         switchKey("overload.pace_balancing", &OverloadFeatures::pace_balancing),
         switchKey("overload.zone_balancing", &OverloadFeatures::zone_balancing),
+        switchKey("overload.call_samples", &OverloadFeatures::call_samples),
         switchKey("overload.retry_admission", &OverloadFeatures::retry_admission),
         switchKey("overload.fair_shares", &OverloadFeatures::fair_shares),
         switchKey("overload.return_priority", &OverloadFeatures::return_priority),
--- a/src/base/overload_features.h
+++ b/src/base/overload_features.h
@@ -10,6 +10,7 @@
     bool zone_balancing = false;   ///< Under full load, zones keep the demand that their own instances have room for.
     bool retry_admission = false;  ///< Admission also limits the retries that requests need at a bottleneck.
     bool fair_shares = false;      ///< Tenants, or routes, share a bottleneck by max-min fairness.
+    bool call_samples = false;     ///< Some runs of repeatable requests get less time, to learn their calls.
     bool return_priority = false;  ///< Callers that wait as told before a retry are admitted before those that do not.
 };
 
--- a/src/decision/call_graph.cc
+++ b/src/decision/call_graph.cc
@@ -38,10 +38,13 @@
 }
 
 /// Calls whose deadlines match by chance are left out: among many runs, each deadline is near that of some run.
+bool CallGraph::isJudged(const Callee& callee) const {
+    return callee.calls - callee.by_chance >= knobs_.min_callee_calls;
+}
+
 bool CallGraph::inheritsDeadline(const Callee& callee) const {
     const double judged = callee.calls - callee.by_chance;
-    return judged >= knobs_.min_callee_calls &&
-           callee.matched - callee.by_chance >= knobs_.min_inherited_share * judged;
+    return isJudged(callee) && callee.matched - callee.by_chance >= knobs_.min_inherited_share * judged;
 }
 
 bool CallGraph::identifiesCalls(const Callee& callee, Duration time) const {
@@ -200,7 +203,9 @@
     auto& callee = callees_[name];
     callee.usual = usual_.usual(name);
     countMatch(now + timeout, &callee);
-    auto* run = is_shortened || inheritsDeadline(callee) ? findRunByDeadline(now + timeout) : nullptr;
+    // Calls to a callee that is not judged yet count for the runs that end after it is.
+    const bool may_inherit = inheritsDeadline(callee) || !isJudged(callee);
+    auto* run = is_shortened || may_inherit ? findRunByDeadline(now + timeout) : nullptr;
     if (run == nullptr) {
         return meanContext(name);
     }
--- a/src/decision/call_graph.h
+++ b/src/decision/call_graph.h
@@ -4,10 +4,10 @@
 ///
 /// An internal call does not name the request that it is made for, but it must end by that request's deadline. If
 /// this is earlier than the call's usual timeout, the call's deadline equals the request's and identifies it. Where
-/// requests usually have more time than their calls, a small sample of those that may run twice begins with a shorter
-/// deadline: below the usual timeout of the calls, several times the route's mean time, at most a part of the time
-/// left, and unique among the requests in progress. A run that needs longer is begun again with the rest of its time
-/// (relay::RelayService). No other request gets less time than its caller gives it.
+/// requests usually have more time than their calls, only a sample of runs with a shorter deadline shows them: below
+/// the usual timeout of the calls, several times the route's mean time, at most a part of the time left, and unique
+/// among the requests in progress. A run that needs longer is ended early, so that only requests that may run twice can
+/// be samples, and only if `OverloadFeatures::call_samples` is on.
 #pragma once
 
 #include <cstddef>
@@ -37,14 +37,14 @@
     double sample_share = 0.85;   ///< Timeout of a sample as a share of the calls' usual timeout; the rest
                                   ///< allows calls that are made late in a run to be identified.
     double min_time_factor = 3;   ///< The timeout of a sample is at least this many times the mean time of its route.
-    double max_time_share = 0.5;  ///< And at most this share of the time left, so that it can be begun again.
+    double max_time_share = 0.5;  ///< And at most this share of the time left, so that the request can be retried.
     std::uint32_t learning_interval = 1;  ///< One run in this many is a sample while a route's calls are unknown,
     std::uint32_t known_interval = 64;    ///< and one in this many afterwards, to detect changes.
     double min_samples = 4;               ///< Completed sample runs before an estimate is given.
     double min_failed_samples = 12;       ///< The same for failed runs, which may have ended before some calls.
     double min_calls = 0.05;              ///< A route depends on a callee if it calls it at least this often per run.
     double time_weight = 0.1;             ///< Weight of one run in the moving average of a route's time.
-    double min_callee_calls = 20;         ///< Calls to a callee before its calls' deadlines are judged.
+    double min_callee_calls = 50;         ///< Calls to a callee before its calls' deadlines are judged.
     double min_inherited_share = 0.9;     ///< Of the calls to a callee: all end with the run that makes them.
     Duration failure_ttl = 100ms;         ///< A failed call explains a failure of the instance for this long.
 };
@@ -60,7 +60,7 @@
     /// Registers a request that is about to be sent to the instance with its own deadline.
     /// @return the run's id, for `onRunEnded`.
     RunId onRunBegan(TimePoint now, const std::string& route, const CallContext& call_context, TimePoint deadline);
-    /// The same for a request that can be sent again if the instance does not complete it in time.
+    /// The same for a request that may run twice, which may become a sample.
     /// @param deadline   in: deadline of the request; out: deadline to send to the instance, earlier for a sample.
     RunId onRepeatableRunBegan(TimePoint now, const std::string& route, const CallContext& call_context,
                                TimePoint* deadline);
@@ -119,6 +119,8 @@
     };
 
     void decay(TimePoint now);
+    /// @return true if there are enough calls to this callee to tell whose deadlines they have.
+    [[nodiscard]] bool isJudged(const Callee& callee) const;
     /// @return true if the deadline of each call to this callee is that of its run.
     [[nodiscard]] bool inheritsDeadline(const Callee& callee) const;
     /// @return true if a run with this time to its deadline is identified by its calls to this callee.
--- a/src/relay/relay_retries.h
+++ b/src/relay/relay_retries.h
@@ -31,8 +31,6 @@
     void setRelayCount(std::size_t count) { relay_count_.set(clock_.now(), count); }
     /// Counts a request unless it is a retry or another relay has counted it, so that each request counts once.
     void count(const RelayRequest& request);
-    /// Counts a run that the relay begins again to give it all of its time. The budget cannot deny it.
-    void countRepeatedRun() { budget_.onFirstAttempt(clock_.now(), 1); }
     /// Takes a retry that was not granted before from the budget. @return false if the budget denies the retry; true
     /// for every first attempt.
     /// @param has_begun   the request is a call of a tree in progress.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -16,10 +16,9 @@
 /// Share of the demand that is reported as the capacity of an instance whose state is unknown: entries admit enough
 /// requests for its return to be noticed.
 constexpr double kProbeShare = 0.05;
-/// Larger requests are no samples of the call graph, since a sample is kept until its response.
-constexpr std::size_t kMaxSampleBody = std::size_t{16} * 1024;
-/// An instance counts its time in milliseconds and may end a run this much before its deadline.
-constexpr Duration kSampleEndTolerance = 10ms;
+/// An instance that is out of time says so itself at the deadline that it was handed, and the entry cancels the call at
+/// its own deadline, which is a little later. After this time beyond the deadline, neither is awaited any more.
+constexpr Duration kEndGrace = 100ms;
 
 }  // namespace
 
@@ -259,7 +258,7 @@
     call.sent_at = clock_.now();
     call.incarnation = instance::incarnationName(instance_.record());
     call.notice.start_ms = instance_.record().born_ms();
-    const auto deadline = beginRun(&call, request);
+    const auto deadline = beginRun(&call);
     const auto time_left = deadline - call.sent_at;
     if (call.connection_failures == 0) {
         ++(call.request.is_retry ? send_totals_.retries : send_totals_.first_attempts);
@@ -268,63 +267,25 @@
     const bool may_run_twice = call.request.retry_policy == RetryPolicy::kAlways;
     request.headers.set(names_.expected_instance, call.request.instance);
     request.headers.set(names_.deadline_ms, std::to_string(toMilliseconds(time_left)));
-    call.attempt = instances_.sendCall(instance_address_, std::move(request), time_left, may_run_twice,
+    const auto end = std::max(deadline, std::min(deadline + kEndGrace, stop_deadline_.value_or(TimePoint::max())));
+    call.attempt = instances_.sendCall(instance_address_, std::move(request), end - call.sent_at, may_run_twice,
                                        [this, id](AttemptResult result) { onAttemptEnded(id, std::move(result)); });
 }
 
-/// Only a small request that may run twice can be a sample: it is kept until its response.
-TimePoint RelayService::beginRun(Call* call, const HttpRequest& request) {
+/// Registers the run at the call graph. @return the deadline to send to the instance: that of the request, unless the
+/// run is a sample, which a request that must not run twice never is.
+TimePoint RelayService::beginRun(Call* call) {
     auto call_context = call->request.call_context;
     call_context.retry_probability = call->request.is_retry ? 1 : call_context.retry_probability;
     auto deadline = call->request.deadline;
     const auto& route = call->request.route;
-    call->sample_until = {};
-    const bool may_sample = call->request.retry_policy == RetryPolicy::kAlways && !call->is_trial &&
-                            !call->request.is_retry && request.body.size() <= kMaxSampleBody;
-    if (!may_sample) {
-        call->run = call_graph_.onRunBegan(call->sent_at, route, call_context, deadline);
-        return deadline;
-    }
-    call->run = call_graph_.onRepeatableRunBegan(call->sent_at, route, call_context, &deadline);
-    if (deadline < call->request.deadline) {
-        call->sample_until = deadline;
-        call->sample_request = request;
-    }
+    const bool may_sample =
+        knobs_.samples_calls && call->request.retry_policy == RetryPolicy::kAlways && !stop_deadline_;
+    call->run = may_sample ? call_graph_.onRepeatableRunBegan(call->sent_at, route, call_context, &deadline)
+                           : call_graph_.onRunBegan(call->sent_at, route, call_context, deadline);
     return deadline;
 }
 
-/// @return true if the instance was given less time than the request has, and did not complete it in that time.
-bool RelayService::needsFullTime(const Call& call, const AttemptResult& result) const {
-    if (call.sample_until == TimePoint{} || clock_.now() < call.sample_until - kSampleEndTolerance) {
-        return false;
-    }
-    return result.outcome == AttemptOutcome::kResponded ? result.response.status == kHttpGatewayTimeout
-                                                        : result.outcome == AttemptOutcome::kUnknown;
-}
-
-/// Runs a request again that was a sample and needs longer. The call keeps its slot. The run counts as a retry, so that
-/// other retries stay within the budget. Another relay runs it if the instance may not be sent requests any more.
-void RelayService::sendWithFullTime(CallId id) {
-    auto& call = *calls_[id];
-    call.sample_until = {};
-    retries_.countRepeatedRun();
-    if (!accepts(call)) {
-        RelayResult result;
-        result.outcome = RelayOutcome::kUnknown;
-        result.reason = RelayReason::kNoCompleteResponse;
-        result.was_sent = true;
-        result.is_retry_paid = true;
-        finish(id, std::move(result));
-        return;
-    }
-    call.attempt.reset();
-    call.request.request = std::move(call.sample_request);
-    call.request.is_retry = true;
-    runs_.onEnded(id);
-    onRunEnded(call, false);
-    send(id);
-}
-
 /// A lost connection may mean that the instance crashed: the result is held back until the crash detector has decided.
 void RelayService::onAttemptEnded(CallId id, AttemptResult result) {
     const auto& incarnation = calls_[id]->incarnation;
@@ -339,10 +300,6 @@
         onConnectionFailed(id, std::move(result));
         return;
     }
-    if (needsFullTime(*calls_[id], result)) {
-        sendWithFullTime(id);
-        return;
-    }
     if (result.outcome == AttemptOutcome::kUnknown && !isConnectionLost(result)) {
         reportRunCut(*calls_[id], result.reason);
     }
@@ -367,13 +324,7 @@
         onCrash(suspected_incarnation_);
     }
     for (auto& it : lost_attempts) {
-        const auto found = calls_.find(it.id);
-        if (found == calls_.end()) {
-            continue;
-        }
-        if (!has_crashed && needsFullTime(*found->second, it.result)) {
-            sendWithFullTime(it.id);
-        } else {
+        if (const auto found = calls_.find(it.id); found != calls_.end()) {
             runs_.onConnectionLost(it.id);
             found->second->attempt.reset();
             finish(it.id, resultOf(*found->second, std::move(it.result)));
@@ -569,8 +520,7 @@
     if (result.was_sent) {
         retries_.onSentEnded(result);
     }
-    result.is_retry_paid =
-        result.is_retry_paid || retries_.payForRetry(call.request, result, isOfTreeInProgress(call.request));
+    result.is_retry_paid = retries_.payForRetry(call.request, result, isOfTreeInProgress(call.request));
     result.load = queue_.load();
     result.has_load = true;
     result.notice = noticeFor(call);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -55,6 +55,7 @@
     std::uint32_t slots_per_free_slot = 16;     ///< One slot of this many is left free.
     std::uint32_t min_slots_for_free_slot = 8;  ///< An instance with at least this many slots has one left free.
     bool retry_admission = false;               ///< `OverloadFeatures::retry_admission`.
+    bool samples_calls = false;                 ///< `OverloadFeatures::call_samples`.
     bool rejects_too_late = false;              ///< A request that could only start too late to complete is rejected.
     DisabledMechanisms disabled;                ///< Tests only.
 };
@@ -142,8 +143,6 @@
         TimePoint sent_at{};
         decision::CountedArrival counted;    ///< As demand for the instance.
         decision::CallGraph::RunId run = 0;  ///< 0 before the request is sent.
-        TimePoint sample_until{};    ///< Deadline sent to the instance, if it is earlier than that of the request.
-        HttpRequest sample_request;  ///< To be sent again if the instance needs longer than `sample_until`.
         AttemptHandle attempt;
         TimerHandle rejection_timer;  ///< Delivers a rejection from the event loop.
     };
@@ -168,10 +167,7 @@
     void rejectLater(CallId id, RelayReason reason);
     void onQueueDecision(CallId id, InstanceQueue::Decision decision);
     void send(CallId id);
-    /// Registers the run at the call graph. @return the deadline to send to the instance.
-    TimePoint beginRun(Call* call, const HttpRequest& request);
-    [[nodiscard]] bool needsFullTime(const Call& call, const AttemptResult& result) const;
-    void sendWithFullTime(CallId id);
+    TimePoint beginRun(Call* call);
     void onAttemptEnded(CallId id, AttemptResult result);
     void onConnectionFailed(CallId id, AttemptResult result);
     void returnToQueue(CallId id, HttpRequest request);
