Add stops of entries and relays, and POST requests on kept connections, to the soak

Cause: an answer was lost around the stop of an entry whose relay was another node (docs/incidents/ request-cut-before-its-deadline.md). The soak stopped nodes one by one, and its callers sent no bodies, no slow requests and no non-idempotent requests on connections that they kept.

Its draws come from generators of their own: faults and arrivals of a seed stay.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -17,6 +17,21 @@
 constexpr Duration kMinLength = 500ms;
 constexpr Duration kLengthSpread = 4500ms;
 
+constexpr Duration kMinStopGap = 2500ms;
+constexpr Duration kStopGapSpread = 2500ms;
+/// Final part of the load without stops: the grace period of the last ones.
+constexpr Duration kStopFreeTail = 6s;
+/// Time from one stop of a node to the next: the grace period and the start of the next process.
+constexpr Duration kRestop = 9s;
+/// Offsets between the stops of two nodes.
+constexpr Duration kStopOffsets[] = {0s, 1s, 3s};
+/// What happens to another node beside a stop, and how long.
+constexpr std::pair<const char*, Duration> kBesideStops[] = {{"node-reload", 100ms},   {"table-change", 100ms},
+                                                             {"node-reset", 100ms},    {"instance-reset", 100ms},
+                                                             {"answers-lost", 1500ms}, {"instance-drain", 6s}};
+/// One stop in this many is one of groups.
+constexpr std::uint64_t kGroupShare = 5;
+
 /// Uniform in [min_duration, min_duration + spread).
 Duration drawDuration(RandomSource& random, Duration min_duration, Duration spread) {
     return min_duration + Duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(spread.count()))));
@@ -48,6 +63,34 @@
     return faults;
 }
 
+std::vector<PlannedFault> drawStops(RandomSource& random, Duration length, std::size_t nodes) {
+    std::vector<PlannedFault> faults;
+    std::vector<Duration> usable(nodes);  // When each node may be stopped.
+    const auto stop = [&](const char* name, Duration at) {
+        auto node = static_cast<std::size_t>(random.below(nodes));
+        for (std::size_t tries = 0; tries < nodes && usable[node] > at; ++tries) {
+            node = (node + 1) % nodes;
+        }
+        if (usable[node] <= at) {
+            usable[node] = at + kRestop;
+            faults.push_back({name, at, 1s, node});
+        }
+    };
+    for (auto at = kFirstFault; at < length - kStopFreeTail; at += drawDuration(random, kMinStopGap, kStopGapSpread)) {
+        if (random.below(kGroupShare) == 0) {
+            faults.push_back({"nodes-stop-in-groups", at, 1s, static_cast<std::size_t>(random.below(nodes))});
+            std::fill(usable.begin(), usable.end(), at + kRestop);
+            continue;
+        }
+        stop(random.below(2) == 0 ? "node-stop" : "node-stop-reloaded", at);
+        stop("node-stop", at + kStopOffsets[random.below(std::size(kStopOffsets))]);
+        const auto& [name, duration] = kBesideStops[random.below(std::size(kBesideStops))];
+        const auto offset = drawDuration(random, Duration::zero(), kMinStopGap);
+        faults.push_back({name, at + offset, duration, static_cast<std::size_t>(random.below(nodes))});
+    }
+    return faults;
+}
+
 Result<PlannedFault> parseFault(const std::string& text, std::size_t nodes) {
     const auto at = text.find('@');
     PlannedFault fault;
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -27,6 +27,10 @@
 std::vector<PlannedFault> drawFaults(RandomSource& random, Duration length, std::size_t nodes,
                                      const std::vector<std::string>& only);
 
+/// Draws a schedule of planned stops of entries and relays: together, one shortly after the other, in groups, and
+/// beside other faults. No node is stopped again before it has restarted.
+std::vector<PlannedFault> drawStops(RandomSource& random, Duration length, std::size_t nodes);
+
 /// Parses "KIND@SECONDS+SECONDS/NODE": name of the fault, start, duration and node number.
 /// @param nodes number of nodes.
 /// @return the fault, or an error that states the expected format.
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -18,6 +18,12 @@
 /// The stops of a rolling stop spread over kBaseNodes * kStopInterval, whatever the number of nodes.
 constexpr std::size_t kBaseNodes = 9;
 constexpr Duration kRollingStopLength = kBaseNodes * kStopInterval + 4s;
+/// Interval and size of the groups of a stop in groups; the groups are distinct nodes.
+constexpr Duration kGroupInterval = 1300ms;
+constexpr std::size_t kGroupSize = 4;
+constexpr std::size_t kGroups = 3;
+/// SIGHUP follows SIGTERM after these times: while the node still serves, and after it has closed its listener.
+constexpr Duration kReloadsAfterStop[] = {200ms, 1500ms, 2900ms};
 constexpr Duration kLinkDelay = 120ms;
 constexpr Duration kStoreDelay = 400ms;
 constexpr Duration kTableInterval = 250ms;
@@ -43,6 +49,7 @@
     Step end;
     Duration min_duration{};  ///< How long its effects last without further action.
     bool is_drawn = true;     ///< In random schedules; later kinds are excluded to keep the schedules of old seeds.
+    bool is_planned = false;  ///< A stop as planned, which excuses no loss of a response.
 };
 
 const std::vector<FaultInjector::Kind>& FaultInjector::kinds() {
@@ -51,8 +58,8 @@
         {"node-kill", Scope::kNode, true, &F::killNode, &F::allowNodeStart},
         {"most-nodes-kill", Scope::kAll, true, &F::killAllButOne, &F::allowAllStarts},
         {"node-freeze", Scope::kNode, true, &F::suspendNode, &F::resumeNode},
-        {"node-stop", Scope::kNode, false, &F::stopNode, &F::noAction},
-        {"nodes-stop-in-turn", Scope::kAll, false, &F::rollingStop, &F::noAction, kRollingStopLength},
+        {"node-stop", Scope::kNode, false, &F::stopNode, &F::noAction, {}, true, true},
+        {"nodes-stop-in-turn", Scope::kAll, false, &F::rollingStop, &F::noAction, kRollingStopLength, true, true},
         {"node-reload", Scope::kNone, false, &F::reloadNode, &F::noAction},
         {"instance-crash", Scope::kNode, false, &F::crashInstance, &F::startInstance},
         {"instance-drain", Scope::kNone, false, &F::drainInstance, &F::startInstance},
@@ -92,6 +99,8 @@
         {"node-connections-silent", Scope::kNode, false, &F::silenceNode, &F::noAction, {}, false},
         {"store-connections-silent", Scope::kAll, false, &F::silenceStoreLinks, &F::noAction, {}, false},
         {"connections-silent", Scope::kAll, false, &F::silenceAllLinks, &F::noAction, {}, false},
+        {"node-stop-reloaded", Scope::kNode, false, &F::stopNodeReloaded, &F::noAction, {}, false, true},
+        {"nodes-stop-in-groups", Scope::kAll, false, &F::stopNodesInGroups, &F::noAction, {}, false, true},
     };
     return all;
 }
@@ -133,7 +142,8 @@
         std::find_if(kinds().begin(), kinds().end(), [&](const Kind& it) { return fault.name == it.name; });
     std::vector<std::pair<std::size_t, std::size_t>> disturbed;  // Node number and disturbance number.
     const auto begin_disturbance = [&](std::size_t node) {
-        disturbed.emplace_back(node, fleet_.observations().beginDisturbance(node, kind->terminates_process));
+        disturbed.emplace_back(
+            node, fleet_.observations().beginDisturbance(node, kind->terminates_process, kind->is_planned));
     };
     if (kind->scope == Scope::kNode) {
         begin_disturbance(fault.node);
@@ -198,6 +208,23 @@
     }
 }
 
+/// The settings of a node that is stopping are read again.
+void FaultInjector::stopNodeReloaded(std::size_t node) {
+    stopNode(node);
+    for (const auto wait : kReloadsAfterStop) {
+        timers_.push_back(loop_.startTimer(wait, [this, node] { fleet_.reloadStopping(node); }));
+    }
+}
+
+void FaultInjector::stopNodesInGroups(std::size_t first) {
+    const auto count = std::min(kGroups * kGroupSize, fleet_.size());
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto wait = kGroupInterval * (number / kGroupSize);
+        const auto node = (first + number) % fleet_.size();
+        timers_.push_back(loop_.startTimer(wait, [this, node] { stopNode(node); }));
+    }
+}
+
 void FaultInjector::reloadNode(std::size_t node) {
     fleet_.signal(node, SIGHUP, false);
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -45,6 +45,8 @@
     void resumeNode(std::size_t node);
     void stopNode(std::size_t node);
     void rollingStop(std::size_t node);
+    void stopNodeReloaded(std::size_t node);
+    void stopNodesInGroups(std::size_t first);
     void reloadNode(std::size_t node);
     // Instances
     void crashInstance(std::size_t node);
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -33,6 +33,11 @@
 constexpr const char* kHost = "fleet.example";
 constexpr const char* kInternalHost = "inner.example";
 constexpr const char* kInternalRoute = "/inner/";
+constexpr std::int64_t kRouteTimeoutMs = 1500;
+/// Timeout of the routes of timed work in every second table.
+constexpr std::int64_t kShortRouteTimeoutMs = 1300;
+/// Keeps the load of timed work near the limit of slots.
+constexpr std::uint32_t kTimedSlots = 8;
 constexpr Duration kPollInterval = 1s;
 /// Delay before an instance restarts after a crashing request.
 constexpr Duration kInstanceRestart = 1500ms;
@@ -79,18 +84,41 @@
 }
 
 Json routeOf(const char* host, const std::string& path, const std::string& service, bool is_idempotent, int priority) {
-    return {{"Host", host},       {"PathPrefix", path},      {"Kind", is_idempotent ? "safe" : "unsafe"},
-            {"TimeoutMs", 1500},  {"TargetLatencyMs", 1000}, {"Priority", priority},
-            {"Service", service}, {"MaxAttempts", 2},        {"Anonymous", host == std::string(kInternalHost)}};
+    return {{"Host", host},
+            {"PathPrefix", path},
+            {"Kind", is_idempotent ? "safe" : "unsafe"},
+            {"TimeoutMs", kRouteTimeoutMs},
+            {"TargetLatencyMs", 1000},
+            {"Priority", priority},
+            {"Service", service},
+            {"MaxAttempts", 2},
+            {"Anonymous", host == std::string(kInternalHost)}};
+}
+
+/// The service of each route of timed work.
+constexpr std::pair<const char*, const char*> kTimedServices[] = {
+    {kTimedRoute, "desk"}, {kTimedChainRoute, "browse"}, {kTimedSecondRoute, "leaf"}, {kTimedThirdRoute, "desk"}};
+
+bool isCalledByInstances(const std::string& path) {
+    return path == kTimedSecondRoute || path == kTimedThirdRoute;
+}
+
+Json timedRouteOf(const std::string& path, const std::string& service, std::int64_t timeout_ms) {
+    auto route = routeOf(isCalledByInstances(path) ? standins::kChainedHost : kHost, path, service, false, 1);
+    route["TimeoutMs"] = timeout_ms;
+    route["Anonymous"] = true;
+    return route;
 }
 
 }  // namespace
 
-Fleet::Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies, bool has_tenants)
+Fleet::Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies, bool has_tenants,
+             bool has_timed_work)
     : loop_(loop),
       directory_(std::move(directory)),
       copies_(copies),
       has_tenants_(has_tenants),
+      has_timed_work_(has_timed_work),
       random_(seed),
       key_random_(seed + 1),
       observations_(loop, platform::headerNames()),
@@ -125,7 +153,8 @@
     node->zone = zone;
     node->instance_options.service = service.name;
     node->instance_options.zone = zone;
-    node->instance_options.slots = service.slots;
+    node->instance_options.slots = has_timed_work_ ? kTimedSlots : service.slots;
+    node->instance_options.chained_path = service.calls_internal ? kTimedSecondRoute : kTimedThirdRoute;
     node->instance_options.work = service.work;
     node->instance_options.internal_host = service.calls_internal ? kInternalHost : "";
     node->instance_options.internal_path = kInternalRoute;
@@ -208,6 +237,14 @@
     ::kill(process, signal_number);
 }
 
+void Fleet::reloadStopping(std::size_t number) {
+    std::ifstream file(directory_ + "/" + nodes_[number]->name + ".pid");
+    int process = 0;
+    if (file >> process && process > 1) {
+        ::kill(process, SIGHUP);
+    }
+}
+
 void Fleet::setHeld(std::size_t number, bool is_held) {
     const auto file = directory_ + "/" + nodes_[number]->name + ".held";
     if (is_held) {
@@ -278,6 +315,19 @@
             routeOf(kHost, path, service, path != "/sign/", path == "/sign/" ? 0 : 2);
         caller_routes_.push_back(path);
     }
+    std::map<std::string, Duration> timeouts = {{kInternalRoute, std::chrono::milliseconds(kRouteTimeoutMs)}};
+    for (const auto& [path, service] : services) {
+        timeouts[path] = std::chrono::milliseconds(kRouteTimeoutMs);
+    }
+    if (has_timed_work_) {
+        const auto timeout_ms = table_version_ % 2 == 0 ? kShortRouteTimeoutMs : kRouteTimeoutMs;
+        for (const auto& [path, service] : kTimedServices) {
+            routes["r" + std::string(path).substr(1, std::string(path).size() - 2)] =
+                timedRouteOf(path, service, timeout_ms);
+            services[path] = service;
+            timeouts[path] = std::chrono::milliseconds(timeout_ms);
+        }
+    }
     Json table_services;
     for (const auto& service : kServices) {
         table_services[service.name] = {{"HealthPath", "/health"}, {"MaxConnections", 200}};
@@ -301,7 +351,7 @@
                   {"MaxBodyBytes", 1048576},
                   {"HeaderTimeoutMs", 3000},
                   {"IdleTimeoutMs", 15000}}}});
-    observations_.onTable(table_version_, std::move(services), std::move(tenants_by_key));
+    observations_.onTable(table_version_, std::move(services), std::move(tenants_by_key), std::move(timeouts));
     return table_version_;
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -24,6 +24,13 @@
 /// Retry limit of each service in the settings of all nodes.
 inline constexpr decision::RetryLimit kRetryLimit{0.2, 40, 10s};
 
+/// Routes of timed work for callers, which only tables of fleets with timed work have.
+inline constexpr const char* kTimedRoute = "/timed/";             ///< Makes no calls.
+inline constexpr const char* kTimedChainRoute = "/timed-chain/";  ///< Its instances may call kTimedSecondRoute.
+/// Routes of the second and third service of a chain.
+inline constexpr const char* kTimedSecondRoute = "/timed-second/";
+inline constexpr const char* kTimedThirdRoute = "/timed-third/";
+
 /// One node, its local instance, and the proxies of its links.
 struct FleetNode {
     std::string name;
@@ -57,7 +64,9 @@
 
     /// @param directory shared with scripts/soak.sh. @param seed of random faults, requests and keys.
     /// @param copies nodes per service and zone. @param has_tenants false: the tables have no tenants and no keys.
-    Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies, bool has_tenants);
+    /// @param has_timed_work true: the tables have routes for timed work, and instances have fewer slots.
+    Fleet(adapters::EventLoop& loop, std::string directory, std::uint64_t seed, std::size_t copies, bool has_tenants,
+          bool has_timed_work);
 
     /// Starts all stand-ins and proxies, publishes the first table, and writes the node settings and the list of nodes.
     Result<void> prepare();
@@ -79,6 +88,8 @@
     /// Sends a signal to a node's process.
     /// @param expects_exit true if the signal makes it exit; any other exit is recorded as unexpected.
     void signal(std::size_t number, int signal_number, bool expects_exit);
+    /// Sends SIGHUP to a node's process, also if it was told to stop.
+    void reloadStopping(std::size_t number);
     /// Writes the settings for a node's next start.
     /// @param name of the node from then on; its addresses stay.
     void writeSettings(std::size_t number, const std::string& name);
@@ -110,6 +121,7 @@
     std::string directory_;
     std::size_t copies_;
     bool has_tenants_;
+    bool has_timed_work_;
     adapters::SeededRandom random_;
     adapters::SeededRandom
         key_random_;  ///< Separate, so that the choice of keys does not change a seed's faults and requests.
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -14,6 +14,7 @@
 #include "tests/soak/checks.h"
 #include "tests/soak/faults.h"
 #include "tests/soak/fleet.h"
+#include "tests/soak/kept_posts.h"
 #include "tests/soak/open_connections.h"
 
 namespace dewcrank::soak {
@@ -44,8 +45,9 @@
     std::vector<std::string> faults;  ///< Explicit faults, which replace random ones.
     bool has_tenants = true;
     bool has_open_connections = false;  ///< Beside the other load, callers keep connections and use them to the end.
-    bool is_untimed = false;            ///< Skips checks with a time limit.
-    bool shows_progress = false;        ///< Prints a line every second.
+    bool has_calm_stops = false;  ///< Beside the other load, POST requests on kept connections; draws planned stops.
+    bool is_untimed = false;      ///< Skips checks with a time limit.
+    bool shows_progress = false;  ///< Prints a line every second.
 };
 
 /// One soak, from the setup of the fleet to the report.
@@ -53,9 +55,11 @@
 public:
     explicit Soak(Options options)
         : options_(std::move(options)),
-          fleet_(loop_, options_.directory, options_.seed, options_.copies, options_.has_tenants),
+          fleet_(loop_, options_.directory, options_.seed, options_.copies, options_.has_tenants,
+                 options_.has_calm_stops),
           callers_(loop_, fleet_),
           open_connections_(loop_, fleet_, options_.seed),
+          kept_posts_(loop_, fleet_, options_.seed + 2),
           injector_(loop_, fleet_, callers_, options_.rate) {}
 
     int run() {
@@ -75,7 +79,10 @@
 
 private:
     Result<void> planFaults() {
-        if (options_.faults.empty()) {
+        if (options_.faults.empty() && options_.has_calm_stops) {
+            adapters::SeededRandom random(options_.seed + 3);
+            faults_ = drawStops(random, options_.length, fleet_.size());
+        } else if (options_.faults.empty()) {
             faults_ = drawFaults(fleet_.random(), options_.length, fleet_.size(), options_.only);
         }
         for (const auto& text : options_.faults) {
@@ -133,6 +140,9 @@
         if (options_.has_open_connections) {
             open_connections_.start();
         }
+        if (options_.has_calm_stops) {
+            kept_posts_.start();
+        }
         injector_.schedule(faults_);
         if (options_.shows_progress) {
             showProgress();
@@ -140,6 +150,7 @@
         timer_ = loop_.startTimer(options_.length, [this] {
             callers_.stop();
             open_connections_.stop();
+            kept_posts_.stop();
             timer_ = loop_.startTimer(kResponseDrainTime, [this] { finish(); });
         });
     }
@@ -187,6 +198,11 @@
         std::printf("requests: %zu, runs at instances: %zu, calls to the store: %llu\n",
                     fleet_.observations().requests.size(), fleet_.observations().runs.size(),
                     static_cast<unsigned long long>(fleet_.store().calls()));
+        const auto first_table =
+            std::chrono::system_clock::now() - (loop_.now() - fleet_.observations().tables.front().acknowledged);
+        std::printf("calls of instances: %zu, first table at %lld ms\n", fleet_.observations().calls.size(),
+                    static_cast<long long>(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(first_table.time_since_epoch()).count()));
         std::printf("this process was late by %lld ms at most\n",
                     static_cast<long long>(toMilliseconds(fleet_.maxLateness())));
         for (const auto& [status, count] : by_status) {
@@ -207,6 +223,7 @@
     Fleet fleet_;
     Callers callers_;
     OpenConnections open_connections_;
+    KeptPosts kept_posts_;
     FaultInjector injector_;
     TimePoint started_ = loop_.now();
     TimePoint load_started_{};
@@ -234,6 +251,7 @@
     add("progress", "print a line of results every second");
     add("without-tenants", "tables have no tenants: nodes need no bound on revoked keys");
     add("open-connections", "further callers overlap requests or read slowly, on connections that they keep");
+    add("calm-stops", "further callers send POST requests on kept connections; draws planned stops of several nodes");
     add("untimed", "skip checks of time limits, for machines under other load");
     add("list", "print the kinds of faults");
     add("help", "print this help");
@@ -255,6 +273,7 @@
     options.copies = given["copies"].as<std::size_t>();
     options.has_tenants = given.count("without-tenants") == 0;
     options.has_open_connections = given.count("open-connections") > 0;
+    options.has_calm_stops = given.count("calm-stops") > 0;
     options.is_untimed = given.count("untimed") > 0;
     options.shows_progress = given.count("progress") > 0;
     if (given.count("fault") > 0) {
