--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -39,7 +39,8 @@
     knobs.selector.balancing.cost.uses_zones = overload.zone_balancing;
     knobs.relay.queue.uses_pace = overload.pace_balancing;
     knobs.relay.retry_admission = overload.retry_admission;
-    knobs.relay.samples_calls = overload.call_samples;
+    // Retry admission reckons with the calls of whole trees.
+    knobs.relay.samples_calls = overload.call_samples || overload.retry_admission;
     knobs.relay.rejects_too_late = overload.return_priority;
     knobs.bottlenecks.includes_retries = overload.retry_admission;
     return settings;
