--- a/apps/ctl/explain.cc
+++ b/apps/ctl/explain.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <set>
 
 #include "apps/ctl/commands.h"
@@ -16,9 +17,24 @@
 constexpr double kContextSeconds = 2;
 /// Events that change which table, nodes and instances a node uses, or report faults of these.
 const std::set<std::string> kStateChanges = {
-    "table_adopted", "instance_changed", "node_started",    "node_stopping", "node_stopped",
-    "store_failed",  "settings_read",    "relay_failed",    "node_silent",   "load",
-    "nodes_listed",  "events_left_out",  "settings_refused"};
+    "table_adopted", "instance_changed", "node_started",     "node_stopping", "node_stopped",
+    "store_failed",  "settings_read",    "relay_failed",     "node_silent",   "load",
+    "nodes_listed",  "events_left_out",  "settings_refused", "node_idle",     "log_lines_dropped"};
+/// Events of a request whose response is lost between two hops.
+const std::set<std::string> kLosses = {"instance_failed", "answer_spoiled", "run_cut",           "relay_failed",
+                                       "response_cut",    "client_left",    "request_unfinished"};
+
+/// A request that was given up with one of these statuses may have run, and its answer was lost.
+bool isLoss(const std::string& line) {
+    const auto event = fieldValue(line, "event");
+    const auto status = fieldValue(line, "status");
+    return kLosses.contains(event) || (event == "request_given_up" && (status == "502" || status == "504"));
+}
+
+void sortByTime(std::vector<TraceLine>* lines) {
+    std::stable_sort(lines->begin(), lines->end(),
+                     [](const TraceLine& left, const TraceLine& right) { return left.time < right.time; });
+}
 
 }  // namespace
 
@@ -50,8 +66,15 @@
             result.push_back(event);
         }
     }
-    std::stable_sort(result.begin(), result.end(),
-                     [](const TraceLine& left, const TraceLine& right) { return left.time < right.time; });
+    sortByTime(&result);
+    return result;
+}
+
+std::vector<TraceLine> RequestTrace::losses() const {
+    std::vector<TraceLine> result;
+    std::copy_if(request_lines_.begin(), request_lines_.end(), std::back_inserter(result),
+                 [](const TraceLine& line) { return isLoss(line.text); });
+    sortByTime(&result);
     return result;
 }
 
@@ -73,6 +96,14 @@
     for (const auto& line : lines) {
         std::cout << (line.names_request ? "> " : "  ") << line.time << ' ' << line.source << ' ' << line.text << '\n';
     }
+    const auto losses = trace.losses();
+    if (losses.empty()) {
+        std::cout << "lost: at no hop, by these files\n";
+    } else {
+        const auto& first = losses.front();
+        std::cout << "lost: first at " << first.source << " event=" << fieldValue(first.text, "event")
+                  << " reason=" << fieldValue(first.text, "reason") << '\n';
+    }
     return kExitOk;
 }
 
--- a/apps/ctl/explain.h
+++ b/apps/ctl/explain.h
@@ -26,6 +26,8 @@
     void read(const std::string& source, std::istream& log);
     /// @return events of the request, and state changes within two seconds of one of them, ordered by time.
     [[nodiscard]] std::vector<TraceLine> lines() const;
+    /// @return events of the request that name a hop at which its response was lost, ordered by time.
+    [[nodiscard]] std::vector<TraceLine> losses() const;
 
 private:
     std::string request_;
--- a/tests/process/command_line_test.sh
+++ b/tests/process/command_line_test.sh
@@ -117,6 +117,13 @@
 echo 'time=2026-01-01T10:00:03.500 event=instance_failed request=r2 instance=i2 sent=yes route=/work/ fingerprint=aa' > "$work/two.log"
 expect "a request that crashed two instances" 0 'fingerprint=aa route=/work/ instances=2 from_s=36001.000 to_s=36003.500' \
     "$programs/dewcrank" crashes "$work/one.log" "$work/two.log"
+echo 'time=2026-01-01T10:00:01.200 event=client_left request=r1 server=callers reason=peer-closed' > "$work/entry.log"
+echo 'time=2026-01-01T10:00:01.100 event=run_cut request=r1 instance=i1 reason=timeout remaining_ms=900' > "$work/cut.log"
+expect "explain names the hop that lost the answer" 0 "lost: first at $work/cut.log event=run_cut reason=timeout" \
+    "$programs/dewcrank" explain r1 "$work/entry.log" "$work/cut.log"
+expect "explain without a file" 2 'at least one log file' "$programs/dewcrank" explain r1
+expect "explain of an unknown request" 2 'no line of these files names this request' \
+    "$programs/dewcrank" explain r2 "$work/cut.log"
 expect "crashes without a file" 2 'one log file at least' "$programs/dewcrank" crashes
 expect "repeats without a file" 2 'one log file at least' "$programs/dewcrank" repeats
 expect "repeats of a missing file" 2 'cannot be read' "$programs/dewcrank" repeats "$work/nowhere.log"
