--- a/review/standins-2/lab.cc
+++ b/review/standins-2/lab.cc
@@ -398,11 +398,7 @@
 // Instances ------------------------------------------------------------------
 
 Instance::Instance(Machine machine, Options options, Record& record)
-    : machine_(std::move(machine)),
-      options_(options),
-      record_(record),
-      read_rate_(options.read_bytes_per_s),
-      id_("i-" + machine_.name) {
+    : machine_(std::move(machine)), options_(options), record_(record), id_("i-" + machine_.name) {
     listener_ = std::make_unique<Listener>(machine_.ip, machine_.instance,
                                            [this](Connection& connection) { serve(connection); });
     std::thread([this] { beat(); }).detach();
@@ -418,7 +414,7 @@
         std::size_t bytes = 0;
         double started = 0;
         const auto slowly = [&](std::size_t count) {
-            const double rate = read_rate_;
+            const double rate = options_.read_bytes_per_s;
             started = bytes == 0 ? now() : started;
             bytes += count;
             if (rate > 0) {
@@ -430,7 +426,7 @@
             return;
         }
         if (request->path == "/health") {
-            if (!connection.write(reply(200, "Dewcrank-Instance-Id: " + id_ + "\r\n", ""))) {
+            if (!connection.write(reply(is_leaving_ ? 503 : 200, "Dewcrank-Instance-Id: " + id_ + "\r\n", ""))) {
                 return;
             }
             continue;
@@ -456,21 +452,41 @@
     }
 }
 
+std::string Instance::nextHeartbeat() {
+    const std::lock_guard lock(mutex_);
+    const Json beat = {
+        {"Address", machine_.ip + ":" + std::to_string(machine_.instance)},
+        {"Info",
+         {{"Service", machine_.service}, {"Version", "v1"}, {"Zone", machine_.zone}, {"Slots", options_.slots}}},
+        {"Status", {{"State", "ready"}, {"CallSeq", ++sequence_}, {"ColdLeftMs", 0}}}};
+    return beat.dump();
+}
+
+int Instance::sendHeartbeat(const std::string& body) {
+    return post("/dewcrank/Instances.Heartbeat/" + id_, body);
+}
+
+int Instance::leave() {
+    is_leaving_ = true;
+    return post("/dewcrank/Instances.Leave/" + id_, "{}");
+}
+
+/// An acknowledgement counts if it comes within a second.
+int Instance::post(const std::string& path, const std::string& body) {
+    const auto connection = Connection::open(machine_.ip, machine_.heartbeats, 1);
+    if (connection == nullptr) {
+        return 0;
+    }
+    connection->write("POST " + path + " HTTP/1.1\r\nHost: " + machine_.ip +
+                      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body);
+    const auto response = connection->read(true);
+    return response ? response->status : 0;
+}
+
 void Instance::beat() {
-    std::uint64_t sequence = 0;
-    while (true) {
-        const Json beat = {
-            {"Address", machine_.ip + ":" + std::to_string(machine_.instance)},
-            {"Info",
-             {{"Service", machine_.service}, {"Version", "v1"}, {"Zone", machine_.zone}, {"Slots", options_.slots}}},
-            {"Status", {{"State", "ready"}, {"CallSeq", ++sequence}, {"ColdLeftMs", 0}}}};
-        if (const auto connection = Connection::open(machine_.ip, machine_.heartbeats, 1)) {
-            const auto body = beat.dump();
-            connection->write("POST /dewcrank/Instances.Heartbeat/" + id_ + " HTTP/1.1\r\nHost: " + machine_.ip +
-                              "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                              "\r\n\r\n" + body);
-            connection->read(true);
-        }
+    while (beats_) {
+        sendHeartbeat(nextHeartbeat());
         sleepFor(kHeartbeatMs / 1000.0);
     }
 }
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -152,18 +152,30 @@
     };
     Instance(Machine machine, Options options, Record& record);
     [[nodiscard]] std::vector<Run> runs();
-    void setReadRate(double bytes_per_s) { read_rate_ = bytes_per_s; }
+    [[nodiscard]] const std::string& id() const { return id_; }
+    /// Sends no further heartbeats of its own accord.
+    void stopHeartbeats() { beats_ = false; }
+    /// @return the body of the next heartbeat, which says that it is ready.
+    std::string nextHeartbeat();
+    /// Sends a heartbeat now. @return the status of the answer; 0: none.
+    int sendHeartbeat(const std::string& body);
+    /// Announces that it leaves, and says so at its health path from then on; it serves on.
+    /// @return the status of the answer; 0: none.
+    int leave();
 
 private:
     void serve(Connection& connection);
     void beat();
+    int post(const std::string& path, const std::string& body);
 
     Machine machine_;
     Options options_;
     Record& record_;
-    std::atomic<double> read_rate_;
     std::string id_;
+    std::atomic<bool> beats_ = true;
+    std::atomic<bool> is_leaving_ = false;
     std::mutex mutex_;
+    std::uint64_t sequence_ = 0;
     std::vector<Run> runs_;
     std::unique_ptr<Listener> listener_;
 };
