--- a/review/8/driver.cc
+++ b/review/8/driver.cc
@@ -20,7 +20,7 @@
 constexpr double kDrainS = 2;
 constexpr double kRestartS = 0.5;
 constexpr double kHeartbeatS = 1.5;
-constexpr double kLateS = 5;       ///< For so long the last two heartbeats before the leaving are under way.
+constexpr double kLateS = 6;       ///< For so long the last two heartbeats before the leaving are under way.
 constexpr double kServesOnS = 14;  ///< After the acknowledgement the instance serves on, then it ends.
 constexpr std::uint64_t kMaxBody = std::uint64_t{64} * 1024 * 1024;
 
