Tell a caller's request from a message of a node by the header that entries set

Cause: the relay compared method and path, which in a relayed call are the caller's, with those of the nodes' own messages before it looked at the relay header, which alone is not the caller's. Change: `handleNodeRequest` goes by the header alone: with it, a call; without it, a message (`handleMessage`). Entries set the header on every call and remove its prefix from what callers send, as before, so that old and new nodes understand each other. The heartbeat port takes messages only, no relayed calls. The simulation's check of services goes by all prefixes of a path, since such a route's paths have several. A relay of the former version still errs until it is replaced.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -187,7 +187,7 @@
 /// Also accepts gossip: a starting node may have only this node's heartbeat address.
 void SidecarDaemon::onHeartbeatRequest(HttpRequest request, const Exchange& exchange) {
     if (request.path == fleet::kGossipPath) {
-        onNodeRequest(std::move(request), exchange);
+        exchange->reply(node_.handleMessage(request));
         return;
     }
     auto response = platform_.instance_api->handle(request, *this);
--- a/sim/sidecar_fleet.h
+++ b/sim/sidecar_fleet.h
@@ -200,6 +200,7 @@
     void scheduleRetry(const CallerRequest& request, const HttpResponse& response);
     void scheduleNextRequest(double per_second, TimePoint end, double sign_share, double cancel_share);
     void checkResponses(std::vector<Violation>* out) const;
+    [[nodiscard]] bool isAllowed(const RunRecord& run) const;
     void checkRuns(std::vector<Violation>* out) const;
     void checkDraining(std::vector<Violation>* out) const;
     void checkRetries(std::vector<Violation>* out) const;
--- a/src/relay/relay_wire.cc
+++ b/src/relay/relay_wire.cc
@@ -172,10 +172,11 @@
     return message;
 }
 
-std::optional<ReceivedRequest> fromHttp(HttpRequest request, TimePoint now) {
-    if (!request.headers.has(kRequestHeader)) {
-        return std::nullopt;
-    }
+bool isRelayed(const HttpRequest& request) {
+    return request.headers.has(kRequestHeader);
+}
+
+ReceivedRequest fromHttp(HttpRequest request, TimePoint now) {
     FieldReader fields(request.headers.get(kRequestHeader));
     ReceivedRequest received;
     received.sender = readPeer(&fields);
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -35,8 +35,10 @@
 
 /// Adds the relay header to the request. @param now time from which the deadline is sent as a remaining duration.
 HttpRequest toHttp(RelayRequest request, const RelayPeer& sender, TimePoint now);
-/// Parses and removes the relay header. @return nothing if the request has no relay header.
-std::optional<ReceivedRequest> fromHttp(HttpRequest request, TimePoint now);
+/// @return whether the request has the relay header, which only an entry can have set.
+bool isRelayed(const HttpRequest& request);
+/// Parses and removes the relay header of a relayed request.
+ReceivedRequest fromHttp(HttpRequest request, TimePoint now);
 /// Adds the relay header to the response. The status is 200 if the result holds no response of the instance.
 HttpResponse toHttp(RelayResult result, const RelayPeer& sender);
 /// Parses and removes the relay header. @return outcome kUnknown and reason kRelayLost if the response has no relay
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -380,25 +380,29 @@
 }
 
 SidecarNode::CallId SidecarNode::handleNodeRequest(HttpRequest request, const ReplyCallback& reply) {
-    if (request.path == fleet::kGossipPath && request.method == "POST") {
-        reply(gossip_.handle(request));
+    if (!relay::isRelayed(request)) {
+        reply(handleMessage(request));
         return 0;
     }
-    if (request.path == quarantine::kExchangePath && request.method == "POST") {
-        reply(quarantine_exchange_.handle(request));
-        return 0;
+    auto received = relay::fromHttp(std::move(request), ports_.clock.now());
+    gossip_.onTableVersionSeen(received.sender.name, received.sender.table_version);
+    return relayCall(std::move(received.request), reply);
+}
+
+HttpResponse SidecarNode::handleMessage(const HttpRequest& request) {
+    const bool is_post = request.method == "POST";
+    if (is_post && request.path == fleet::kGossipPath) {
+        return gossip_.handle(request);
     }
-    if (request.path == quota::kQuotaPath && request.method == "POST") {
-        reply(quota_.handle(request));
-        return 0;
+/// The method, path and body of a relayed call are those of a caller, and may look like a message. Only its header
+/// tells the two apart: entries set it on every call, and remove it from what callers send.
+    if (is_post && request.path == quarantine::kExchangePath) {
+        return quarantine_exchange_.handle(request);
     }
-    auto received = relay::fromHttp(std::move(request), ports_.clock.now());
-    if (!received) {
-        reply(textResponse(kHttpNotFound, "neither gossip nor a relayed call"));
-        return 0;
+    if (is_post && request.path == quota::kQuotaPath) {
+        return quota_.handle(request);
     }
-    gossip_.onTableVersionSeen(received->sender.name, received->sender.table_version);
-    return relayCall(std::move(received->request), reply);
+    return textResponse(kHttpNotFound, "neither a message of a node nor a relayed call");
 }
 
 SidecarNode::CallId SidecarNode::relayCall(relay::RelayRequest request, const ReplyCallback& reply) {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -88,10 +88,13 @@
     /// call, unless the call is cancelled first.
     /// @return an id for cancelCall(); 0 if `reply` has been called already.
     CallId handleCall(HttpRequest request, ReplyCallback reply);
-    /// Handles a request of another node: gossip, quarantine or quota exchange, or a call for the local instance.
+    /// Handles a request of another node: a call for the local instance, or a message.
     /// @return as handleCall().
     CallId handleNodeRequest(HttpRequest request, const ReplyCallback& reply);
     /// Cancels a call whose client has disconnected; its reply is not called any more.
+    /// Handles a message of another node: gossip, quarantine or quota exchange. Never a call, whatever its headers are.
+    /// @return the response; 404 if it is none of these.
+    HttpResponse handleMessage(const HttpRequest& request);
     void cancelCall(CallId call_id);
 
     /// @return false if the heartbeat names a service that is not part of the fleet; it is ignored then.
