Adopt a table only from a response to a node that has asked for it

Cause: `Gossip::mergeMessage` adopted a table from any message, also from a request, though only responses carry one. Change: `onResponse` adopts a response's table; one in a request is ignored. Measured: unit_fleet_gossip a_table_in_a_request_is_ignored: red with the former adoption (version 7 adopted), now green.

--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -327,6 +327,9 @@
         directory_.onReached(response.sender());
         const bool has_restarted = directory_.onIncarnationSeen(response.sender(), response.sender_incarnation());
         mergeMessage(response, nullptr);
+        if (response.has_table()) {
+            adoptTable(response.table(), response.sender());
+        }
         if (has_restarted && !directory_.formerLeaves(response.sender()).empty()) {
             send(response.sender(), makeMessage(), nullptr);
         }
@@ -389,9 +392,6 @@
         signal_leaves_recovered_.emit({message.receiver_leaves().begin(), message.receiver_leaves().end()});
     }
     onStoreEra(message.store_era());
-    if (message.has_table()) {
-        adoptTable(message.table(), message.sender());
-    }
 }
 
 void Gossip::adoptTable(const wire::RouteTable& table, const std::string& from) {
--- a/tests/unit/fleet/gossip_test.cc
+++ b/tests/unit/fleet/gossip_test.cc
@@ -125,6 +125,19 @@
     BOOST_TEST(left.table.version() == 7U);
 }
 
+/// Guards against a table that replaces the present one though nobody has asked for it.
+BOOST_AUTO_TEST_CASE(a_table_in_a_request_is_ignored) {
+    wire::Gossip message;
+    message.set_sender("right");
+    message.mutable_table()->set_version(7);
+    HttpRequest request;
+    request.method = "POST";
+    request.path = fleet::kGossipPath;
+    request.body = message.SerializeAsString();
+    BOOST_TEST(left.gossip.handle(request).status == 200);
+    BOOST_TEST(left.table.version() == 0U);
+}
+
 /// A fleet of kNodes nodes with the table and complete directories, and a starting node that has only their addresses.
 struct FleetFixture {
     FleetFixture() {
