Believe a heartbeat that cannot be ordered only with a proof later than the process's start

Cause: a heartbeat of an unknown incarnation was believed without asking the instance if another one had been contradicted a second before, or if it was the incarnation's first. Neither shows when a heartbeat was composed. `heartbeat_unconfirmed` (new) names each heartbeat that does not count, with its reason. Ruled out: health says 200 (the driver's instance answers 503 while it leaves); a record of another node (the state changes at the moment of the heartbeat). Change: such a heartbeat counts if the instance confirms it at its health path, which is asked each time, or if it comes to an address that only responses of this process have named, with a greater sequence number than the heartbeat that was told. The platform's heartbeats allow the second (an address for later heartbeats); `listen.fresh_ports` gives the ports.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -66,6 +66,9 @@
       heartbeats_(
           loop_, kDefaultLimits, kIdleTimeout,
           [this](HttpRequest request, const Exchange& exchange) { onHeartbeatRequest(std::move(request), exchange); }),
+      fresh_address_(
+          loop_, kDefaultLimits, kIdleTimeout, settings_.heartbeats.ip, settings_.fresh_ports,
+          [this](const HttpRequest& request, const Exchange& exchange) { onInstanceRequest(request, true, exchange); }),
       readiness_(loop_, kDefaultLimits, kIdleTimeout,
                  [this](const HttpRequest&, const Exchange& exchange) { onReadinessRequest(exchange); }),
       metrics_server_(loop_, kDefaultLimits, kIdleTimeout,
@@ -190,6 +193,11 @@
         exchange->reply(node_.handleMessage(request));
         return;
     }
+    onInstanceRequest(request, false, exchange);
+}
+
+void SidecarDaemon::onInstanceRequest(const HttpRequest& request, bool is_at_fresh_address, const Exchange& exchange) {
+    is_at_fresh_address_ = is_at_fresh_address;
     auto response = platform_.instance_api->handle(request, *this);
     if (response.status == kHttpBadRequest) {
         ++rejected_heartbeats_;
@@ -198,6 +206,14 @@
     node_.whenLeavesCopied([exchange, response]() { exchange->reply(response); });
 }
 
+/// An instance that was told the fresh address is told the usual one as soon as its heartbeats count.
+std::string SidecarDaemon::heartbeatAddress() {
+    if (node_.namesFreshAddress()) {
+        return fresh_address_.text();
+    }
+    return is_at_fresh_address_ ? settings_.heartbeats.text() : "";
+}
+
 void SidecarDaemon::cancelOnDisconnect(const Exchange& exchange, sidecar::SidecarNode::CallId call_id) {
     if (call_id != 0) {
         exchange->onClientDisconnected([this, call_id] { node_.cancelCall(call_id); });
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "apps/sidecar/fresh_address.h"
 #include "src/adapters/event_loop.h"
 #include "src/adapters/http_client.h"
 #include "src/adapters/http_server.h"
@@ -52,12 +53,17 @@
 private:
     using Exchange = std::shared_ptr<adapters::ServerExchange>;
     [[nodiscard]] sidecar::Settings nodeSettings() const;
-    bool onHeartbeat(const instance::Heartbeat& heartbeat) override { return node_.onHeartbeat(heartbeat); }
+    bool onHeartbeat(const instance::Heartbeat& heartbeat) override {
+        return node_.onHeartbeat(heartbeat, is_at_fresh_address_);
+    }
     void onInstanceLeave(const std::string& id, std::uint64_t start_ms) override {
         node_.onInstanceLeave(id, start_ms);
     }
+    std::string heartbeatAddress() override;
     void onCall(HttpRequest request, const Exchange& exchange);
     void onHeartbeatRequest(HttpRequest request, const Exchange& exchange);
+    /// @param is_at_fresh_address whether the request came to `fresh_address_`.
+    void onInstanceRequest(const HttpRequest& request, bool is_at_fresh_address, const Exchange& exchange);
     void onNodeRequest(HttpRequest request, const Exchange& exchange);
     void cancelOnDisconnect(const Exchange& exchange, sidecar::SidecarNode::CallId call_id);
     void onReadinessRequest(const Exchange& exchange);
@@ -82,6 +88,8 @@
     adapters::HttpServer callers_;         ///< Calls of local callers and of the instance.
     adapters::HttpServer node_server_;     ///< Requests of other nodes.
     adapters::HttpServer heartbeats_;      ///< Requests of the local instance to its node; also gossip.
+    FreshAddress fresh_address_;           ///< Heartbeats that were composed after this process began.
+    bool is_at_fresh_address_ = false;     ///< The request of the instance that is handled came there.
     adapters::HttpServer readiness_;       ///< Readiness probes of the platform.
     adapters::HttpServer metrics_server_;  ///< Prometheus scrapes.
     std::uint64_t rejected_heartbeats_ = 0;
--- a/sim/sidecar_fleet.cc
+++ b/sim/sidecar_fleet.cc
@@ -132,11 +132,12 @@
         });
     };
     const NodeLink link{
-        [target, acknowledge](const instance::Heartbeat& heartbeat, const std::string& incarnation,
-                              const NodeLink::Acknowledged& acknowledged) {
+        [target, acknowledge](const instance::Heartbeat& heartbeat, FreshAddress address,
+                              const std::string& incarnation, const NodeLink::HeartbeatAcknowledged& acknowledged) {
             if (target->node != nullptr && target->host->isUp()) {
-                target->node->onHeartbeat(heartbeat);
-                acknowledge(incarnation, heartbeat.is_draining, acknowledged);
+                target->node->onHeartbeat(heartbeat, address == target->starts);
+                const FreshAddress named = target->node->namesFreshAddress() ? target->starts : 0;
+                acknowledge(incarnation, heartbeat.is_draining, [acknowledged, named] { acknowledged(named); });
             }
         },
         [target, acknowledge](const std::string& id, std::uint64_t start_ms, const std::string& incarnation,
--- a/sim/sidecar_instance.cc
+++ b/sim/sidecar_instance.cc
@@ -48,6 +48,7 @@
     start_ms_ =
         static_cast<std::uint64_t>(toMilliseconds(kWallClockAtEpoch + queue_.now().time_since_epoch() + clock_step_));
     sequence_ = 0;
+    fresh_address_ = 0;
     is_draining_ = false;
     has_announced_leave_ = false;
     drain_acknowledged_ = {};
@@ -88,9 +89,22 @@
     crash();
 }
 
-void SidecarInstance::announceLeave(Duration late_after, Duration serves_on) {
+void SidecarInstance::sendLateHeartbeats(int count, Duration late_after) {
+    heartbeat_timer_.reset();
+    for (int index = 0; index < count; ++index) {
+        deliver(nextHeartbeat(), late_after + index * options_.heartbeat_interval);
+    }
+}
+
+void SidecarInstance::announceDraining(Duration serves_on) {
+    is_draining_ = true;
+    heartbeat_timer_.reset();
+    deliver(nextHeartbeat(), Duration::zero());
+    leave_timer_ = host_.startTimer(serves_on, [this] { crash(); });
+}
+
+void SidecarInstance::announceLeave(Duration serves_on) {
     heartbeat_timer_.reset();
-    deliver(nextHeartbeat(), late_after);
     has_announced_leave_ = true;
     node_.leave(id_, start_ms_, incarnation_name_, [this] { drain_acknowledged_ = queue_.now(); });
     leave_timer_ = host_.startTimer(serves_on, [this] { crash(); });
@@ -120,11 +134,17 @@
 
 /// A delayed heartbeat is delivered also after the instance has stopped.
 void SidecarInstance::deliver(const instance::Heartbeat& heartbeat, Duration delay) {
-    queue_.schedule(queue_.now() + delay, nullptr, [this, heartbeat, incarnation_name = incarnation_name_] {
-        node_.heartbeat(heartbeat, incarnation_name, [this, heartbeat, incarnation_name] {
-            if (heartbeat.is_draining && incarnation_name == incarnation_name_ && drain_acknowledged_ == TimePoint{}) {
+    const bool is_late = delay > Duration::zero();
+    const auto address = fresh_address_;
+    queue_.schedule(queue_.now() + delay, nullptr, [=, this, incarnation_name = incarnation_name_] {
+        node_.heartbeat(heartbeat, address, incarnation_name, [=, this](FreshAddress named) {
+            if (incarnation_name != incarnation_name_) {
+                return;
+            }
+            if (heartbeat.is_draining && drain_acknowledged_ == TimePoint{}) {
                 drain_acknowledged_ = queue_.now();
             }
+            fresh_address_ = is_late ? fresh_address_ : named;  // The response to a late one is not awaited any more.
         });
     });
 }
@@ -141,7 +161,8 @@
     const auto run_id = ++last_run_id_;
     HttpResponse response;
     if (request.path == kProbePath) {
-        response.status = is_draining_ || has_announced_leave_ ? kHttpServiceUnavailable : kHttpOk;
+        const bool says_leaving = is_draining_ || has_announced_leave_ || options_.denies_health;
+        response.status = says_leaving ? kHttpServiceUnavailable : kHttpOk;
         response.headers.set(names_.instance_id, id_);
         reply(std::move(response));
         return run_id;
--- a/sim/sidecar_instance.h
+++ b/sim/sidecar_instance.h
@@ -33,6 +33,7 @@
     double shed_share = 0;                  ///< Of arrivals: rejected with 503 though slots may be free.
     bool reports_start_time = true;         ///< Heartbeats contain the start time.
     bool keeps_id = false;                  ///< The id stays the same over restarts.
+    bool denies_health = false;             ///< The health path says that the instance leaves, which is false.
     double late_heartbeat_share = 0;        ///< Of heartbeats: delivered up to 4 s late.
     std::string internal_host;              ///< Host that each run calls first, through the local node; empty: none.
     int internal_calls = 1;                 ///< Internal calls per run, one after the other.
@@ -106,11 +107,18 @@
 void recordPassedSignals(const HttpResponse& response, const std::string& entry, TimePoint now,
                          InstanceRecords* records);
 
+/// Number of the node's process whose fresh address (HeartbeatCheck) a heartbeat is sent to; 0: the usual address. One
+/// of a process that has ended is as the usual one, which the instance tries next.
+using FreshAddress = std::uint64_t;
+
 /// How an instance reaches its local node. `acknowledged` is called when the node has acknowledged the message, and not
 /// if the node is down.
 struct NodeLink {
     using Acknowledged = std::function<void()>;
-    std::function<void(const instance::Heartbeat&, const std::string& incarnation_name, Acknowledged acknowledged)>
+    /// Receives the address for further heartbeats.
+    using HeartbeatAcknowledged = std::function<void(FreshAddress)>;
+    std::function<void(const instance::Heartbeat&, FreshAddress, const std::string& incarnation_name,
+                       HeartbeatAcknowledged acknowledged)>
         heartbeat;
     std::function<void(const std::string& id, std::uint64_t start_ms, const std::string& incarnation_name,
                        Acknowledged acknowledged)>
@@ -132,9 +140,14 @@
     /// Sends a heartbeat that says that the instance drains; 4 s later it leaves and stops.
     void drain();
     /// Leaves without draining: announces its shutdown, sends no further heartbeat, serves on and stops.
-    /// @param late_after after this time, a heartbeat from before arrives that says that the instance is ready.
     /// @param serves_on time from the announcement until it stops.
-    void announceLeave(Duration late_after, Duration serves_on);
+    void announceLeave(Duration serves_on);
+    /// Says `draining` in one heartbeat, sends nothing more to its node, serves on and stops.
+    /// @param serves_on time from the announcement until it stops.
+    void announceDraining(Duration serves_on);
+    /// Composes heartbeats now that say what the instance says now, and sends no further one.
+    /// @param late_after time after which the first one arrives; the others follow at the usual interval.
+    void sendLateHeartbeats(int count, Duration late_after);
     /// @return the options, which may be changed while the instance runs.
     InstanceOptions& options() { return options_; }
     /// @return the id that heartbeats contain; empty while the instance is down.
@@ -187,6 +200,7 @@
     std::uint64_t start_ms_ = 0;  ///< Wall-clock time of the start.
     Duration clock_step_{};       ///< Offset of the wall clock.
     std::uint64_t sequence_ = 0;  ///< Of the last heartbeat.
+    FreshAddress fresh_address_ = 0;
     std::uint64_t last_run_id_ = 0;
     bool is_draining_ = false;
     bool has_announced_leave_ = false;
--- a/src/adapters/socket_address.cc
+++ b/src/adapters/socket_address.cc
@@ -6,6 +6,29 @@
 
 namespace dewcrank::adapters {
 
+namespace {
+
+/// @return nothing if the text is no number from 0 to 65535.
+std::optional<std::uint16_t> parsePort(std::string_view text) {
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, port);
+    return error == std::errc{} && rest == end && !text.empty() ? std::optional(port) : std::nullopt;
+}
+
+}  // namespace
+
+std::optional<PortRange> parsePortRange(const std::string& text) {
+    const auto comma = text.find(',');
+    if (comma == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto first = parsePort(std::string_view(text).substr(0, comma));
+    const auto last = parsePort(std::string_view(text).substr(comma + 1));
+    const bool is_range = first && last && *first > 0 && *first <= *last;
+    return is_range ? std::optional(PortRange{*first, *last}) : std::nullopt;
+}
+
 std::optional<SocketAddress> parseSocketAddress(const std::string& text) {
     const auto colon = text.rfind(':');
     if (colon == std::string::npos) {
@@ -17,12 +40,11 @@
     if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) {
         return std::nullopt;
     }
-    const auto* begin = text.data() + colon + 1;
-    const auto* end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(begin, end, address.port);
-    if (error != std::errc{} || rest != end || begin == end) {
+    const auto port = parsePort(std::string_view(text).substr(colon + 1));
+    if (!port) {
         return std::nullopt;
     }
+    address.port = *port;
     return address;
 }
 
--- a/src/instance/heartbeat_check.cc
+++ b/src/instance/heartbeat_check.cc
@@ -1,25 +1,16 @@
 #include "src/instance/heartbeat_check.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/base/http_status.h"
 
 namespace dewcrank::instance {
 
-namespace {
-
-/// Sequence number of the first heartbeat of an incarnation, which nothing can have preceded.
-constexpr std::uint64_t kFirstSequence = 1;
-
-std::string nameOf(const Heartbeat& heartbeat) {
-    return incarnationName(heartbeat.id, heartbeat.start_ms);
-}
-
-}  // namespace
-
-HeartbeatCheck::HeartbeatCheck(Clock& clock, HttpTransport& instances, const HeaderNames& names, std::string address,
-                               Accept accept, HeartbeatCheckKnobs knobs)
+HeartbeatCheck::HeartbeatCheck(Clock& clock, EventLog& log, HttpTransport& instances, const HeaderNames& names,
+                               std::string address, Accept accept, HeartbeatCheckKnobs knobs)
     : clock_(clock),
+      log_(log),
       instances_(instances),
       names_(names),
       address_(std::move(address)),
@@ -33,22 +24,36 @@
     }
 }
 
-void HeartbeatCheck::onHeartbeat(const Heartbeat& heartbeat, bool is_known) {
-    const bool is_checked = is_known || heartbeat.is_draining || heartbeat.sequence <= kFirstSequence;
-    const bool continues = nameOf(heartbeat) == contradicted_ && clock_.now() - contradicted_at_ >= knobs_.min_interval;
-    if (is_checked || continues) {
-        accept_(heartbeat);
+void HeartbeatCheck::onHeartbeat(const Heartbeat& heartbeat, const HeartbeatArrival& arrival) {
+    const bool is_proved = arrival.is_known || (arrival.is_at_fresh_address && isFresh(heartbeat));
+    if (is_proved || heartbeat.is_draining) {
+        accept(heartbeat);
         return;
     }
     held_ = heartbeat;
+    if (is_unconfirmed_) {
+        recordNaming(heartbeat);
+    }
     if (path_ && probe_ == nullptr) {
         probe();
     }
 }
 
+void HeartbeatCheck::recordNaming(const Heartbeat& heartbeat) {
+    const auto name = incarnationName(heartbeat.id, heartbeat.start_ms);
+    named_at_ = name == named_to_ ? std::max(named_at_, heartbeat.sequence) : heartbeat.sequence;
+    named_to_ = name;
+}
+
+/// A process before this one may have named the same address, so that the address alone proves nothing.
+bool HeartbeatCheck::isFresh(const Heartbeat& heartbeat) const {
+    return incarnationName(heartbeat.id, heartbeat.start_ms) == named_to_ && heartbeat.sequence > named_at_;
+}
+
 void HeartbeatCheck::probe() {
+    retry_timer_.reset();
     if (path_->empty()) {
-        accept();
+        onAnswer(Answer::kNoPath);
         return;
     }
     HttpRequest request;
@@ -64,7 +69,7 @@
 HeartbeatCheck::Answer HeartbeatCheck::answerOf(const AttemptResult& result) const {
     const auto& response = result.response;
     const bool is_full = response.headers.has(names_.not_executed);
-    if (result.outcome != AttemptOutcome::kResponded || is_full) {
+    if (result.outcome != AttemptOutcome::kResponded || is_full || !held_) {
         return Answer::kNone;
     }
     const auto id = response.headers.get(names_.instance_id);
@@ -74,27 +79,57 @@
     if (isSuccess(response.status)) {
         return Answer::kServing;
     }
+    if (response.status == kHttpNotFound) {
+        return Answer::kNoPath;
+    }
     return response.status == kHttpServiceUnavailable ? Answer::kLeaving : Answer::kNone;
 }
 
-/// The health of an instance may be false: one that says that it is leaving is believed until it has sent a further
-/// heartbeat that says the opposite.
 void HeartbeatCheck::onAnswer(Answer answer) {
     probe_.reset();
-    if (answer == Answer::kOther) {
-        held_.reset();
-    } else if (answer == Answer::kLeaving) {
-        contradicted_ = nameOf(*held_);
-        contradicted_at_ = clock_.now();
-        held_.reset();
-    } else {
-        accept();
+    if (!held_) {
+        return;
+    }
+    switch (answer) {
+        case Answer::kServing:
+        case Answer::kNoPath:
+            accept(*std::exchange(held_, std::nullopt));
+            return;
+        case Answer::kOther:
+            logUnconfirmed("other-instance");
+            held_.reset();
+            is_unconfirmed_ = false;
+            return;
+        case Answer::kLeaving:
+            logUnconfirmed("leaving");
+            held_.reset();
+            is_unconfirmed_ = true;
+            return;
+        case Answer::kNone:
+            logUnconfirmed("no-response");
+            is_unconfirmed_ = true;
+            retry_timer_ = clock_.startTimer(knobs_.retry_interval, [this] { probe(); });
     }
 }
 
-void HeartbeatCheck::accept() {
-    const auto heartbeat = *std::exchange(held_, std::nullopt);
+/// A heartbeat of another incarnation may still be held back for its own proof.
+void HeartbeatCheck::accept(const Heartbeat& heartbeat) {
+    const bool is_held = held_ && held_->id == heartbeat.id && held_->start_ms == heartbeat.start_ms;
+    if (is_held) {
+        held_.reset();
+    }
+    if (!held_) {
+        is_unconfirmed_ = false;
+        retry_timer_.reset();
+    }
     accept_(heartbeat);
 }
 
+void HeartbeatCheck::logUnconfirmed(std::string_view reason) const {
+    log_.write(Event("heartbeat_unconfirmed")
+                   .with("instance", incarnationName(held_->id, held_->start_ms))
+                   .with("sequence", held_->sequence)
+                   .with("reason", reason));
+}
+
 }  // namespace dewcrank::instance
--- a/src/ports/instance_api.h
+++ b/src/ports/instance_api.h
@@ -20,6 +20,8 @@
     /// @param id      of the instance.
     /// @param start_ms start time of the incarnation that shuts down, in milliseconds; 0: not given.
     virtual void onInstanceLeave(const std::string& id, std::uint64_t start_ms) = 0;
+    /// @return "ip:port" to which the instance shall send its further heartbeats; empty: where it sends them now.
+    virtual std::string heartbeatAddress() = 0;
 };
 
 /// Decodes the platform's format of the instance's requests.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -67,7 +67,7 @@
       failure_detector_(ports.clock, directory_, gossip_, settings_.knobs.failure_detector),
       instance_(ports.clock, settings_.knobs.instance_timeout),
       heartbeat_check_(
-          ports.clock, ports.instances, settings_.header_names, settings_.instance_address,
+          ports.clock, ports.log, ports.instances, settings_.header_names, settings_.instance_address,
           [this](const instance::Heartbeat& heartbeat) { instance_.onHeartbeat(heartbeat); },
           settings_.knobs.heartbeat_check),
       quarantine_(ports.clock, settings_.knobs.quarantine),
@@ -195,12 +195,12 @@
     heartbeat_check_.onTable(health_path);
 }
 
-bool SidecarNode::onHeartbeat(const instance::Heartbeat& heartbeat) {
+bool SidecarNode::onHeartbeat(const instance::Heartbeat& heartbeat, bool is_at_fresh_address) {
     if (heartbeat.service != settings_.service && !table_.referencesService(heartbeat.service)) {
         return false;
     }
     ++counters_.heartbeats;
-    heartbeat_check_.onHeartbeat(heartbeat, instance_.knows(heartbeat.id, heartbeat.start_ms));
+    heartbeat_check_.onHeartbeat(heartbeat, {instance_.knows(heartbeat.id, heartbeat.start_ms), is_at_fresh_address});
     return true;
 }
 
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -98,7 +98,10 @@
     void cancelCall(CallId call_id);
 
     /// @return false if the heartbeat names a service that is not part of the fleet; it is ignored then.
-    bool onHeartbeat(const instance::Heartbeat& heartbeat);
+    /// @param is_at_fresh_address whether it came to an address that only responses of this process have named.
+    bool onHeartbeat(const instance::Heartbeat& heartbeat, bool is_at_fresh_address = false);
+    /// @return whether the response to the last heartbeat shall name the fresh address for further ones.
+    [[nodiscard]] bool namesFreshAddress() const { return heartbeat_check_.namesFreshAddress(); }
     /// The instance deregisters. @param start_ms start time of its incarnation in milliseconds; 0: not given.
     void onInstanceLeave(const std::string& id, std::uint64_t start_ms = 0);
     /// Waits until other nodes know the leaves that the instance has announced: an acknowledged one is binding, also
--- a/tests/simulation/instance_leaves_test.cc
+++ b/tests/simulation/instance_leaves_test.cc
@@ -52,6 +52,17 @@
     {"its node is stopped", [](sim::SidecarFleet& fleet) { fleet.restartNode(kLeaving); }},
     {"its node and half of the others are killed", [](sim::SidecarFleet& fleet) { killEach(fleet, 2); }},
     {"all nodes are killed", [](sim::SidecarFleet& fleet) { killEach(fleet, 1); }},
+    {"all nodes are killed twice",
+     [](sim::SidecarFleet& fleet) {
+         killEach(fleet, 1);
+         fleet.after(kLateAfter + kRestartDelay, [&fleet] { killEach(fleet, 1); });
+     }},
+    {"all nodes are killed while the store is away",
+     [](sim::SidecarFleet& fleet) {
+         fleet.store().setDown(true);
+         killEach(fleet, 1);
+         fleet.after(3s, [&fleet] { fleet.store().setDown(false); });
+     }},
     {"its node is killed while the store is away",
      [](sim::SidecarFleet& fleet) {
          fleet.store().setDown(true);
@@ -66,13 +77,27 @@
      }},
 };
 
+/// How an instance announces its shutdown.
+enum class Announcement { kLeave, kDraining };
+
 struct Leave {
     std::string fault;
     std::uint64_t seed = 1;
     std::size_t machines = 3;        ///< Of each service.
     bool reports_start_time = true;  ///< Of the instances.
+    int late_heartbeats = 1;         ///< From before the announcement.
+    Announcement announcement = Announcement::kLeave;
 };
 
+void announce(sim::SidecarInstance& instance, const Leave& leave) {
+    instance.sendLateHeartbeats(leave.late_heartbeats, kLateAfter);
+    if (leave.announcement == Announcement::kLeave) {
+        instance.announceLeave(kServesOn);
+    } else {
+        instance.announceDraining(kServesOn);
+    }
+}
+
 /// Runs a fault once the leave is acknowledged. Polls for that moment, as no event shows it.
 void whenAcknowledged(sim::SidecarFleet& fleet, const Fault& fault) {
     if (fleet.instance(kLeaving).drainAcknowledged() != TimePoint{}) {
@@ -93,7 +118,7 @@
     fleet.putTable("browse", "desk", "leaf");
     fleet.runFor(4s);
     fleet.generateLoad(kRequestsPerSecond, fleet.queue().now() + 16s);
-    fleet.after(1s, [&fleet] { fleet.instance(kLeaving).announceLeave(kLateAfter, kServesOn); });
+    fleet.after(1s, [&fleet, &leave] { announce(fleet.instance(kLeaving), leave); });
     fleet.after(1s, [&fleet, &leave] { whenAcknowledged(fleet, kFaults.at(leave.fault)); });
     fleet.runFor(18s);
     BOOST_TEST((fleet.instance(kLeaving).drainAcknowledged() != TimePoint{}), leave.fault << ", seed " << leave.seed);
@@ -119,6 +144,38 @@
     }
 }
 
+/// Guards against an instance that several late heartbeats revive, whatever has become of those who knew of its leave
+///.
+BOOST_AUTO_TEST_CASE(an_acknowledged_leave_holds_whatever_number_of_heartbeats_comes_late) {
+    for (const auto& [name, fault] : kFaults) {
+        for (const int late_heartbeats : {2, 5}) {
+            for (const auto announcement : {Announcement::kLeave, Announcement::kDraining}) {
+                play({name, 1, 3, late_heartbeats == 2, late_heartbeats, announcement});
+            }
+        }
+    }
+}
+
+/// Guards against an instance that gets no requests for as long as its health path says falsely that it is leaving,
+/// once its node has started again.
+BOOST_AUTO_TEST_CASE(a_ready_instance_with_a_false_health_path_is_back_within_seconds) {
+    auto services = tests::callingServices();
+    services.front().instance.denies_health = true;
+    sim::SidecarFleet fleet(1, services);
+    fleet.setHealthPaths();
+    fleet.putTable("browse", "desk", "leaf");
+    fleet.runFor(10s);
+    killEach(fleet, 1);
+    fleet.runFor(6s);
+    const auto before = fleet.runs().size();
+    fleet.generateLoad(kRequestsPerSecond, fleet.queue().now() + 3s);
+    fleet.runFor(5s);
+    BOOST_TEST(fleet.runs().size() > before + 200);
+    for (const auto& violation : fleet.violations()) {
+        BOOST_TEST(false, violation.invariant << ": " << violation.detail);
+    }
+}
+
 /// The same in a fleet in which few of the nodes hear of the leave at once.
 BOOST_AUTO_TEST_CASE(an_acknowledged_leave_holds_in_a_larger_fleet) {
     for (const char* name : {"its node is killed", "its node is killed twice"}) {
--- a/tests/unit/platform/documents_fuzz_test.cc
+++ b/tests/unit/platform/documents_fuzz_test.cc
@@ -28,6 +28,7 @@
         return true;
     }
     void onInstanceLeave(const std::string&, std::uint64_t) override {}
+    std::string heartbeatAddress() override { return ""; }
     int heartbeats = 0;
 };
 
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -71,9 +71,11 @@
         left_ids.push_back(id);
         left_start_times.push_back(start_ms);
     }
+    std::string heartbeatAddress() override { return heartbeat_address; }
     std::vector<instance::Heartbeat> heartbeats;
     std::vector<std::string> left_ids;
     std::vector<std::uint64_t> left_start_times;
+    std::string heartbeat_address;
 };
 
 HttpRequest post(const std::string& path, const std::string& body) {
