Refuse responses that HTTP does not allow, and interim responses without end

What callers saw: a response with status 000 (to 099, or 101) was waited behind until the request's deadline, one with 600 to 999 reached the client; a 204, a 304 or a response to HEAD with a length was waited for until the deadline; a sender of interim responses one by one was read for ever. Cause: the parser took each status below 200 for an interim one, had no upper bound, counted the bytes of a head anew behind each interim response, and went by the length of responses that have no body. Change: in the parser of all hops: 100 to 599 without 101 are valid (RFC 9110, 15), interim responses count towards the limit of the head, a response without a body by its status or method ends with its head (RFC 9110, 6.4.1). Heads, first lines and single bodies without end were cut before and are tested now.

--- a/src/adapters/http_parser.cc
+++ b/src/adapters/http_parser.cc
@@ -12,9 +12,14 @@
 namespace {
 
 constexpr std::array<std::string_view, 6> kAllowedMethods = {"GET", "POST", "HEAD", "PUT", "DELETE", "PATCH"};
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kLastStatus = 599;
+/// Result of the library's callback after a head: the message has no body.
+constexpr int kSkipBody = 1;
 /// Value of content_length in the library if a message has no length.
 constexpr auto kUnknownLength = std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned char kFirstVisible = 0x21;
@@ -66,6 +71,17 @@
            sameHeaderName(name, "connection") || sameHeaderName(name, "keep-alive");
 }
 
+/// A status outside of 100 to 599 is invalid (RFC 9110, section 15), and no request of a client here asks for another
+/// protocol.
+bool isValidStatus(unsigned status) {
+    return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
+}
+
+/// @return whether a response with this status has no body, whatever length its head names (RFC 9110, section 6.4.1).
+bool isBodyless(unsigned status) {
+    return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
+}
+
 /// @return true if the bytes start with a request line that is well-formed apart from its method.
 bool looksLikeRequestLine(std::string_view bytes) {
     const auto line = bytes.substr(0, bytes.find('\r'));
@@ -218,15 +234,20 @@
     if (head_size > limits_.header_bytes) {
         return fail(State::kMalformed);
     }
+    const bool is_response = type_ == HTTP_RESPONSE;
+    if (is_response && !isValidStatus(parser_.status_code)) {
+        return fail(State::kMalformed);
+    }
+    const bool has_body = !expects_no_body_ && !(is_response && isBodyless(parser_.status_code));
+    if (!has_body) {
+        return kSkipBody;
+    }
     const bool has_length = (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != kUnknownLength;
     if (parser_.content_length != kUnknownLength && parser_.content_length > limits_.body_bytes) {
         return fail(State::kTooLarge);
     }
-    const auto status = parser_.status_code;
-    const bool has_body =
-        !expects_no_body_ && status >= kFirstFinalStatus && status != kNoContent && status != kNotModified;
-    ends_with_connection_ = type_ == HTTP_RESPONSE && has_body && !has_length;
-    return expects_no_body_ ? 1 : 0;
+    ends_with_connection_ = is_response && !has_length;
+    return 0;
 }
 
 int HttpMessageParser::onBody(const char* at, std::size_t length) {
@@ -241,9 +262,11 @@
     if (type_ == HTTP_RESPONSE && parser_.status_code < kFirstFinalStatus) {
         const auto no_body = expects_no_body_;
         const auto parser = parser_;
+        const auto head_bytes = head_bytes_;
         reset(no_body);
         parser_ = parser;
-        return 0;  // An interim response; the final one follows.
+        head_bytes_ = head_bytes;  // Interim responses without end are a head without end.
+        return 0;                  // The final response follows.
     }
     if (!field_.empty()) {
         flushHeader();  // Last trailer field.
--- a/src/adapters/http_parser.h
+++ b/src/adapters/http_parser.h
@@ -86,7 +86,7 @@
     bool ends_with_connection_ = false;
     bool keep_alive_ = false;
     State failure_ = State::kIncomplete;
-    std::size_t head_bytes_ = 0;
+    std::size_t head_bytes_ = 0;            ///< Of the incomplete head, and of the interim responses before it.
     std::size_t framing_header_count_ = 0;  ///< Content-Length and Transfer-Encoding fields.
     bool in_value_ = false;
     const char* input_start_ = nullptr;  ///< Start of the buffer that is being parsed.
