Read lists of the store item by item where one item is odd, and check every number

What operators of such systems saw: one odd entry of another writer (nested deeply, a number too large, a port out of range), and machines that read the list end or stop following it. Cause: a list was parsed as one text, which one number such as 1e999 or one byte that is not UTF-8 spoils; numbers were converted without a check of their range (a cast of 1e300 to an integer is undefined); a 409 whose body is no object, and an odd configuration object, threw where nothing catches. `dewcrank_store_entries_skipped` counts. Deep nesting alone ended no process here (parse and free do not recurse).

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -232,6 +232,7 @@
     stats.instance_connections = instances_.openConnections();
     stats.instance_connections_total = instances_.totalConnections();
     stats.heartbeats_rejected = rejected_heartbeats_;
+    stats.store_entries_skipped = platform_.store->skippedEntries();
     stats.response_cuts = cut_log_.totals();
     stats.log_lines_dropped = adapters::ProcessLog::droppedLines();
     exchange->reply(makeResponse(kHttpOk, "text/plain; version=0.0.4", metrics_.text(node_, stats)));
--- a/src/adapters/json_fields.cc
+++ b/src/adapters/json_fields.cc
@@ -1,11 +1,15 @@
 #include "src/adapters/json_fields.h"
 
+#include <cmath>
 #include <stdexcept>
 
 namespace dewcrank::adapters {
 
 namespace {
 
+/// Every integer up to this one has a floating point number of its own.
+constexpr double kMaxExactInteger = 9007199254740992;
+
 const nlohmann::json& requireField(const nlohmann::json& object, const char* field) {
     if (!object.is_object() || !object.contains(field)) {
         throwFieldError(field, "a value");
@@ -57,9 +61,16 @@
     return value.get<std::uint64_t>();
 }
 
+std::uint64_t optionalInteger(const nlohmann::json& object, const char* field, std::uint64_t fallback,
+                              std::uint64_t max) {
+    const bool has_field = object.is_object() && object.contains(field);
+    return has_field ? requireInteger(object, field, 0, max) : fallback;
+}
+
 nlohmann::json jsonNumber(double value) {
-    const auto integer = static_cast<std::int64_t>(value);
-    return static_cast<double>(integer) == value ? nlohmann::json(integer) : nlohmann::json(value);
+    const bool is_in_range = std::abs(value) <= kMaxExactInteger;
+    const auto integer = is_in_range ? static_cast<std::int64_t>(value) : 0;
+    return is_in_range && static_cast<double>(integer) == value ? nlohmann::json(integer) : nlohmann::json(value);
 }
 
 double requireNumber(const nlohmann::json& object, const char* field) {
--- a/src/adapters/json_fields.h
+++ b/src/adapters/json_fields.h
@@ -24,6 +24,9 @@
 std::string requireString(const nlohmann::json& object, const char* field);
 /// @return the integer in a field, from `min` to `max`; fractions and booleans are errors.
 std::uint64_t requireInteger(const nlohmann::json& object, const char* field, std::uint64_t min, std::uint64_t max);
+/// As requireInteger(). @return `fallback` if there is no such field.
+std::uint64_t optionalInteger(const nlohmann::json& object, const char* field, std::uint64_t fallback,
+                              std::uint64_t max);
 /// @return the number in a field; a negative number is an error.
 double requireNumber(const nlohmann::json& object, const char* field);
 
@@ -44,7 +47,7 @@
 
 /// Parses the items of a list. @return the parsed items; invalid ones are skipped.
 template <typename Value, typename Parse>
-std::vector<Value> tryParseItems(const nlohmann::json& items, Parse parse) {
+std::vector<Value> tryParseItems(const std::vector<nlohmann::json>& items, Parse parse) {
     std::vector<Value> values;
     for (const auto& item : items) {
         if (auto value = tryParse<Value>([&] { return parse(item); })) {
--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -148,6 +148,8 @@
     setGauge("dewcrank_heartbeats", "Heartbeats of the instance.", static_cast<double>(node.counters().heartbeats));
     setGauge("dewcrank_heartbeats_refused", "Heartbeats that could not be read, or name no service of the table.",
              static_cast<double>(stats.heartbeats_rejected));
+    setGauge("dewcrank_store_entries_skipped", "Invalid entries of the store's list of nodes, in all lists read.",
+             static_cast<double>(stats.store_entries_skipped));
     setGauge("dewcrank_store_era", "Raised each time that the store comes back from an older copy; 0: it tells none.",
              static_cast<double>(node.storeEra()));
     setGauge("dewcrank_instance_lives", "Lives of instances that are remembered.",
--- a/src/ports/control_store.h
+++ b/src/ports/control_store.h
@@ -57,6 +57,8 @@
     /// the lost revisions again. @return the era in the response whose callback is running, else in the last response;
     /// 0 if the store reports none.
     [[nodiscard]] virtual std::uint64_t era() const = 0;
+    /// @return entries of the list of nodes that were skipped as invalid, in all lists since the start.
+    [[nodiscard]] virtual std::uint64_t skippedEntries() const { return 0; }
     /// Linearizable read: the result includes every write acknowledged before this call.
     virtual void readTable(TableCallback callback) = 0;
     /// Waits up to `wait` for a change of the table after `revision`.
