Take no request late in a stop that cannot end before it does

What operators of such systems saw: requests that came late in the grace of a planned stop were taken, passed on and cut without an answer, among them requests that must not be repeated. Cause: whether a stopping node takes a request went by the time since the signal, not by what the request needs. Change: an entry begins an attempt and a relay sends a request only if it is expected to end 0.2 s before the stop, by a smoothed time of the route plus four deviations (RFC 6298).

--- a/src/base/disabled_mechanisms.h
+++ b/src/base/disabled_mechanisms.h
@@ -23,6 +23,7 @@
     bool quota_limit = false;               ///< Tokens are granted without limit.
     bool peer_name_check = false;           ///< Any response from a node's address counts as that node's.
     bool store_era_check = false;           ///< A store restored from an older copy is treated as unchanged.
+    bool stop_time_check = false;           ///< A stopping node takes requests that it cannot end in time.
     bool shutdown_wait = false;             ///< A planned shutdown does not wait for calls in flight.
 };
 
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -41,6 +41,10 @@
         fail("deadline", may_have_run_);
         return;
     }
+    if (!services_.ends_before_stop(plan_)) {
+        fail("stopping", false);
+        return;
+    }
     const auto target = services_.selector.choose(plan_.service, tried_);
     is_probe_ = target.is_probe;
     const bool has_found_none_running = tried_.empty() || has_met_only_stopping_;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -85,6 +85,8 @@
     /// Reserves a time for the caller of a request that was rejected for lack of capacity, `elapsed` after its start.
     /// Nothing if there is none.
     std::function<std::optional<Duration>(const EntryPlan&, Duration elapsed)> reserve_return;
+    /// False if the node is stopping, and the response to an attempt that begins now may come after its end.
+    std::function<bool(const EntryPlan&)> ends_before_stop;
     DisabledMechanisms disabled;  ///< Tests only.
 };
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -75,9 +75,20 @@
            (knobs_.disabled.drain_check && is_current);
 }
 
+/// A route whose times are not known may take all the time that the request has.
+bool RelayService::endsBeforeStop(const Call& call) const {
+    if (!stop_deadline_ || knobs_.disabled.stop_time_check) {
+        return true;
+    }
+    const auto now = clock_.now();
+    const auto remaining = call.entry_deadline - now;
+    const auto longest = std::min(remaining, run_times_.upperBound(call.request.route).value_or(remaining));
+    return now + longest + knobs_.stop_margin <= *stop_deadline_;
+}
+
 RelayReason RelayService::rejectionReason(const Call& call) {
     const auto& request = call.request;
-    if (is_closed_ || (stop_deadline_ && !request.is_only_candidate)) {
+    if (is_closed_ || (stop_deadline_ && !request.is_only_candidate) || !endsBeforeStop(call)) {
         return RelayReason::kStopping;
     }
     if (!accepts(call)) {
@@ -247,6 +258,8 @@
         rejectLater(id, RelayReason::kDraining);
     } else if (call.request.deadline - clock_.now() < knobs_.min_remaining) {
         rejectLater(id, RelayReason::kDeadline);
+    } else if (!endsBeforeStop(call)) {
+        rejectLater(id, RelayReason::kStopping);
     } else {
         send(id);
     }
@@ -515,6 +528,7 @@
     if (has_response) {
         quarantine_.onCompleted(call.fingerprint);
         demand_.onResponse(call.request.route, time);
+        run_times_.onEnded(call.request.route, time);
     }
     leaveQueues(id, call, time);
     if (result.was_sent) {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -19,6 +19,7 @@
 #include "src/decision/bottleneck_view.h"
 #include "src/decision/call_graph.h"
 #include "src/decision/instance_demand.h"
+#include "src/decision/response_times.h"
 #include "src/decision/usual_deadlines.h"
 #include "src/instance/local_instance.h"
 #include "src/ports/clock.h"
@@ -56,8 +57,9 @@
     std::uint32_t min_slots_for_free_slot = 8;  ///< An instance with at least this many slots has one left free.
     bool retry_admission = false;               ///< `OverloadFeatures::retry_admission`.
     bool samples_calls = false;                 ///< `OverloadFeatures::call_samples`.
-    bool rejects_too_late = false;              ///< A request that could only start too late to complete is rejected.
-    DisabledMechanisms disabled;                ///< Tests only.
+    Duration stop_margin = 200ms;   ///< A stopping relay sends only what is expected to end this long before it does.
+    bool rejects_too_late = false;  ///< A request that could only start too late to complete is rejected.
+    DisabledMechanisms disabled;    ///< Tests only.
 };
 
 /// Everything sent to the instance since the start.
@@ -151,6 +153,8 @@
     /// @return whether the call may be sent to the instance.
     [[nodiscard]] bool accepts(const Call& call) const;
     /// @return whether the call can show that the instance is up, whose state is unknown.
+    /// @return false if the relay is stopping, and the run of the call may end after that.
+    [[nodiscard]] bool endsBeforeStop(const Call& call) const;
     [[nodiscard]] bool canProbe(const Call& call) const;
     void countRejected(Call* call);
     /// Takes a retry from the budget if the call is one. @return kNone if the call may proceed.
@@ -221,6 +225,7 @@
     InternalRouteDetector route_detector_;
     decision::InstanceDemand demand_;
     decision::CallGraph call_graph_;
+    decision::ResponseTimes run_times_;  ///< Of runs at the instance.
     RelayRetries retries_;
     decision::UsualDeadlines deadlines_;
     std::optional<TimePoint> stop_deadline_;
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -51,6 +51,8 @@
     Duration drain_time = 2500ms;
     /// Maximum time from stop() until the node has stopped, with or without calls in flight.
     Duration max_stop_time = 5500ms;
+    /// A stopping node takes a request only if its response is expected this long before the end.
+    Duration stop_margin = 200ms;
     instance::HeartbeatCheckKnobs heartbeat_check;
     /// Number of other nodes that have an instance's leave before it is acknowledged.
     std::size_t leave_copies = 2;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -101,6 +101,7 @@
           },
           [this](const entry::EntryPlan& plan) { return admission_.isOverloaded(plan); },
           [this](const entry::EntryPlan& plan, Duration elapsed) { return admission_.reserveReturn(plan, elapsed); },
+          [this](const entry::EntryPlan& plan) { return endsBeforeStop(plan); },
           settings_.knobs.disabled},
       store_session_(ports.clock, ports.random, ports.log, ports.store, directory_, gossip_, table_, lease_, settings_),
       shard_lease_manager_(ports.clock, ports.log, ports.store, directory_, table_, settings_.knobs.quota_shards),
@@ -327,6 +328,17 @@
     return static_cast<double>(hosts) / static_cast<double>(directory_.otherInstanceCount() + 1);
 }
 
+/// A route whose times are not known may take all the time that the request has.
+bool SidecarNode::endsBeforeStop(const entry::EntryPlan& plan) const {
+    if (!is_stopping_ || settings_.knobs.disabled.stop_time_check) {
+        return true;
+    }
+    const auto now = ports_.clock.now();
+    const auto remaining = plan.deadline - now;
+    const auto longest = std::min(remaining, call_times_.upperBound(plan.route->name()).value_or(remaining));
+    return now + longest + settings_.knobs.stop_margin <= stop_started_ + settings_.knobs.max_stop_time;
+}
+
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, const std::string& relay,
                                 const relay::RelayResult& result) {
     auto report = result.report;
@@ -360,6 +372,9 @@
 /// Destroys the call from a timer, since its member functions are still on the stack.
 void SidecarNode::onCallEnded(CallId call_id, const entry::EntryReport& report) {
     signal_call_ended_.emit(report);
+    if (report.end != entry::EntryEnd::kRejected) {
+        call_times_.onEnded(report.route, report.elapsed);
+    }
     const bool found_instance = report.reason != kNoInstanceReason;
     if (report.end == entry::EntryEnd::kResponded || !found_instance) {
         bottlenecks_.onCallEnded(ports_.clock.now(), report.service, found_instance);
@@ -379,6 +394,8 @@
     }
 }
 
+/// The method, path and body of a relayed call are those of a caller, and may look like a message. Only its header
+/// tells the two apart: entries set it on every call, and remove it from what callers send.
 SidecarNode::CallId SidecarNode::handleNodeRequest(HttpRequest request, const ReplyCallback& reply) {
     if (!relay::isRelayed(request)) {
         reply(handleMessage(request));
@@ -394,8 +411,6 @@
     if (is_post && request.path == fleet::kGossipPath) {
         return gossip_.handle(request);
     }
-/// The method, path and body of a relayed call are those of a caller, and may look like a message. Only its header
-/// tells the two apart: entries set it on every call, and remove it from what callers send.
     if (is_post && request.path == quarantine::kExchangePath) {
         return quarantine_exchange_.handle(request);
     }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/decision/bottleneck_view.h"
+#include "src/decision/response_times.h"
 #include "src/entry/call_intake.h"
 #include "src/entry/entry_call.h"
 #include "src/entry/relay_selector.h"
@@ -91,14 +92,14 @@
     /// Handles a request of another node: a call for the local instance, or a message.
     /// @return as handleCall().
     CallId handleNodeRequest(HttpRequest request, const ReplyCallback& reply);
-    /// Cancels a call whose client has disconnected; its reply is not called any more.
     /// Handles a message of another node: gossip, quarantine or quota exchange. Never a call, whatever its headers are.
     /// @return the response; 404 if it is none of these.
     HttpResponse handleMessage(const HttpRequest& request);
+    /// Cancels a call whose client has disconnected; its reply is not called any more.
     void cancelCall(CallId call_id);
 
-    /// @return false if the heartbeat names a service that is not part of the fleet; it is ignored then.
     /// @param is_at_fresh_address whether it came to an address that only responses of this process have named.
+    /// @return false if the heartbeat names a service that is not part of the fleet; it is ignored then.
     bool onHeartbeat(const instance::Heartbeat& heartbeat, bool is_at_fresh_address = false);
     /// @return whether the response to the last heartbeat shall name the fresh address for further ones.
     [[nodiscard]] bool namesFreshAddress() const { return heartbeat_check_.namesFreshAddress(); }
@@ -156,6 +157,7 @@
     entry::EntryPlan makePlan(HttpRequest request, const entry::Admitted& admitted);
     std::string selectService(const wire::Route& route);
     CallId relayCall(relay::RelayRequest request, const ReplyCallback& reply);
+    [[nodiscard]] bool endsBeforeStop(const entry::EntryPlan& plan) const;
     [[nodiscard]] double hostShare(const std::string& service) const;
     void onRelayResult(const entry::EntryPlan& plan, const std::string& relay, const relay::RelayResult& result);
     void countWasted(const std::string& route, const relay::RelayResult& result, const std::string& bottleneck);
@@ -187,6 +189,7 @@
     quarantine::Exchange quarantine_exchange_;
     relay::RelayService relay_;
     decision::BottleneckView bottlenecks_;
+    decision::ResponseTimes call_times_;  ///< Of calls at this entry, from their arrival on.
     entry::RelaySelector selector_;
     CallAdmission admission_;
     entry::EntryServices entry_services_;
