--- a/apps/sidecar/fresh_address.h
+++ b/apps/sidecar/fresh_address.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "src/adapters/http_server.h"
-#include "src/adapters/sidecar_settings.h"
+#include "src/adapters/socket_address.h"
 
 namespace dewcrank {
 
--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -46,7 +46,7 @@
 }  // namespace
 
 SidecarDaemon::SidecarDaemon(adapters::SidecarSettings settings, std::string settings_file,
-                             const PlatformFactory& platform)
+                             const PlatformFactory& platform, std::optional<adapters::PortRange> fresh_ports)
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       process_log_(""),
@@ -67,7 +67,7 @@
           loop_, kDefaultLimits, kIdleTimeout,
           [this](HttpRequest request, const Exchange& exchange) { onHeartbeatRequest(std::move(request), exchange); }),
       fresh_address_(
-          loop_, kDefaultLimits, kIdleTimeout, settings_.heartbeats.ip, settings_.fresh_ports,
+          loop_, kDefaultLimits, kIdleTimeout, settings_.heartbeats.ip, fresh_ports,
           [this](const HttpRequest& request, const Exchange& exchange) { onInstanceRequest(request, true, exchange); }),
       readiness_(loop_, kDefaultLimits, kIdleTimeout,
                  [this](const HttpRequest&, const Exchange& exchange) { onReadinessRequest(exchange); }),
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -43,7 +43,9 @@
 class SidecarDaemon : private InstanceListener {
 public:
     /// @param settings_file path that is read again on SIGHUP.
-    SidecarDaemon(adapters::SidecarSettings settings, std::string settings_file, const PlatformFactory& platform);
+    /// @param fresh_ports see FreshAddress.
+    SidecarDaemon(adapters::SidecarSettings settings, std::string settings_file, const PlatformFactory& platform,
+                  std::optional<adapters::PortRange> fresh_ports = std::nullopt);
 
     /// Ignores SIGHUP, which ends a process by default, until run() handles it.
     static void ignoreReload();
--- a/src/adapters/sidecar_settings.cc
+++ b/src/adapters/sidecar_settings.cc
@@ -94,22 +94,6 @@
             }};
 }
 
-SettingKey portRangeKey(const char* name, std::optional<PortRange> SidecarSettings::*member) {
-    return {name, false,
-            [name, member](SidecarSettings& settings, const SourceValue& source) -> Result<void> {
-                settings.*member = parsePortRange(source.text);
-                if (!(settings.*member) && !source.text.empty()) {
-                    return stepError(
-                        kStep, source.location,
-                        std::string(name) + ": '" + source.text + "' is not first,last with ports from 1 to 65535");
-                }
-                return {};
-            },
-            [member](const SidecarSettings& settings) {
-                return settings.*member ? (settings.*member)->text() : std::string();
-            }};
-}
-
 /// Comma-separated addresses; may be empty.
 SettingKey addressListKey(const char* name, std::vector<SocketAddress> SidecarSettings::*member) {
     return {name, false,
@@ -191,7 +175,6 @@
         addressKey("listen.readiness", &SidecarSettings::readiness),
         optionalAddressKey("listen.nodes_advertised", &SidecarSettings::nodes_advertised),
         optionalAddressKey("listen.metrics", &SidecarSettings::metrics),
-        portRangeKey("listen.fresh_ports", &SidecarSettings::fresh_ports),
         addressKey("instance.address", &SidecarSettings::instance),
         addressKey("store.address", &SidecarSettings::store),
         addressListKey("fleet.seeds", &SidecarSettings::seeds),
--- a/src/adapters/sidecar_settings.h
+++ b/src/adapters/sidecar_settings.h
@@ -25,11 +25,8 @@
     SocketAddress heartbeats;                       ///< Listens for heartbeats, and for first contacts of other nodes.
     SocketAddress readiness;                        ///< Listens for readiness probes.
     std::optional<SocketAddress> metrics;           ///< Listens for metrics scrapes; none: not served.
-    /// Free ports at the address of `heartbeats`, of which the process names one to an instance whose heartbeats it
-    /// cannot confirm otherwise; none: it waits until it can.
-    std::optional<PortRange> fresh_ports;
-    SocketAddress instance;            ///< Address of the local instance.
-    SocketAddress store;               ///< Address of the store of the platform.
+    SocketAddress instance;                         ///< Address of the local instance.
+    SocketAddress store;                            ///< Address of the store of the platform.
     std::vector<SocketAddress> seeds;  ///< Heartbeat addresses of other nodes, for the first contact; may be outdated.
     Duration heartbeat_interval = 1500ms;            ///< Interval at which the local instance sends heartbeats.
     decision::RetryLimit retry_limit{0.1, 10, 10s};  ///< Limit of the retries of the service, over all relays.
