--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -65,7 +65,7 @@
           [this](HttpRequest request, const Exchange& exchange) { onNodeRequest(std::move(request), exchange); }),
       heartbeats_(
           loop_, kDefaultLimits, kIdleTimeout,
-          [this](HttpRequest request, const Exchange& exchange) { onHeartbeatRequest(std::move(request), exchange); }),
+          [this](const HttpRequest& request, const Exchange& exchange) { onHeartbeatRequest(request, exchange); }),
       fresh_address_(
           loop_, kDefaultLimits, kIdleTimeout, settings_.heartbeats.ip, fresh_ports,
           [this](const HttpRequest& request, const Exchange& exchange) { onInstanceRequest(request, true, exchange); }),
@@ -188,7 +188,7 @@
 }
 
 /// Also accepts gossip: a starting node may have only this node's heartbeat address.
-void SidecarDaemon::onHeartbeatRequest(HttpRequest request, const Exchange& exchange) {
+void SidecarDaemon::onHeartbeatRequest(const HttpRequest& request, const Exchange& exchange) {
     if (request.path == fleet::kGossipPath) {
         exchange->reply(node_.handleMessage(request));
         return;
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -63,7 +63,7 @@
     }
     std::string heartbeatAddress() override;
     void onCall(HttpRequest request, const Exchange& exchange);
-    void onHeartbeatRequest(HttpRequest request, const Exchange& exchange);
+    void onHeartbeatRequest(const HttpRequest& request, const Exchange& exchange);
     /// @param is_at_fresh_address whether the request came to `fresh_address_`.
     void onInstanceRequest(const HttpRequest& request, bool is_at_fresh_address, const Exchange& exchange);
     void onNodeRequest(HttpRequest request, const Exchange& exchange);
--- a/src/adapters/json_fields.cc
+++ b/src/adapters/json_fields.cc
@@ -1,12 +1,16 @@
 #include "src/adapters/json_fields.h"
 
+#include <charconv>
 #include <cmath>
+#include <limits>
 #include <stdexcept>
 
 namespace dewcrank::adapters {
 
 namespace {
 
+constexpr int kHexadecimalBase = 16;
+constexpr std::uint32_t kMaxUint32 = std::numeric_limits<std::uint32_t>::max();
 /// Every integer up to this one has a floating point number of its own.
 constexpr double kMaxExactInteger = 9007199254740992;
 
@@ -67,6 +71,24 @@
     return has_field ? requireInteger(object, field, 0, max) : fallback;
 }
 
+std::uint32_t requireUint32(const nlohmann::json& object, const char* field) {
+    return static_cast<std::uint32_t>(requireInteger(object, field, 0, kMaxUint32));
+}
+
+std::uint32_t optionalUint32(const nlohmann::json& object, const char* field, std::uint32_t fallback) {
+    return static_cast<std::uint32_t>(optionalInteger(object, field, fallback, kMaxUint32));
+}
+
+std::uint64_t requireHexadecimal(const nlohmann::json& object, const char* field) {
+    const auto text = requireString(object, field);
+    std::uint64_t number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number, kHexadecimalBase);
+    if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+        throwFieldError(field, "a hexadecimal number");
+    }
+    return number;
+}
+
 nlohmann::json jsonNumber(double value) {
     const bool is_in_range = std::abs(value) <= kMaxExactInteger;
     const auto integer = is_in_range ? static_cast<std::int64_t>(value) : 0;
--- a/src/adapters/json_fields.h
+++ b/src/adapters/json_fields.h
@@ -27,6 +27,11 @@
 /// As requireInteger(). @return `fallback` if there is no such field.
 std::uint64_t optionalInteger(const nlohmann::json& object, const char* field, std::uint64_t fallback,
                               std::uint64_t max);
+/// As requireInteger() and optionalInteger(), for numbers of 32 bits.
+std::uint32_t requireUint32(const nlohmann::json& object, const char* field);
+std::uint32_t optionalUint32(const nlohmann::json& object, const char* field, std::uint32_t fallback);
+/// @return the number that a text field holds in hexadecimal digits.
+std::uint64_t requireHexadecimal(const nlohmann::json& object, const char* field);
 /// @return the number in a field; a negative number is an error.
 double requireNumber(const nlohmann::json& object, const char* field);
 
