Move the graceful stop of a node into a class of its own

Change: GracefulStop has the times, the checks and the events; the node gives it what it asks. No behaviour changes.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -95,7 +95,7 @@
     result.knobs.relay.retry_limit = settings_.retry_limit;
     result.knobs.table_lease.revocation = settings_.key_revocation;
     result.knobs.overload = settings_.overload;
-    result.knobs.max_stop_time = settings_.stop_grace - kStopMargin;
+    result.knobs.stop.max_time = settings_.stop_grace - kStopMargin;
     return result;
 }
 
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -21,6 +21,7 @@
 #include "src/quota/shard_lease_manager.h"
 #include "src/relay/relay_service.h"
 #include "src/sidecar/call_admission.h"
+#include "src/sidecar/graceful_stop.h"
 #include "src/sidecar/peer_discovery.h"
 #include "src/sidecar/table_refresher.h"
 #include "src/sidecar/table_watcher.h"
@@ -47,12 +48,7 @@
     quota::QuotaClientKnobs quota_client;
     /// The state of an instance is unknown after this time without a heartbeat or a response.
     Duration instance_timeout = 8s;
-    /// A stopping node still accepts calls for this time, until callers have moved to other nodes.
-    Duration drain_time = 2500ms;
-    /// Maximum time from stop() until the node has stopped, with or without calls in flight.
-    Duration max_stop_time = 5500ms;
-    /// A stopping node takes a request only if its response is expected this long before the end.
-    Duration stop_margin = 200ms;
+    StopKnobs stop;
     instance::HeartbeatCheckKnobs heartbeat_check;
     /// Number of other nodes that have an instance's leave before it is acknowledged.
     std::size_t leave_copies = 2;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -11,9 +11,6 @@
 
 namespace {
 
-constexpr Duration kStopCheckInterval = 50ms;
-/// Requests that a stop names if it leaves them unfinished; `in_flight` counts them all.
-constexpr std::size_t kMaxUnfinishedLines = 64;
 /// Reason of a call that no instance could take.
 constexpr std::string_view kNoInstanceReason = "no-instance";
 
@@ -108,7 +105,11 @@
       quota_(ports.clock, ports.random, ports.log, ports.nodes, directory_, table_, shard_lease_manager_,
              settings_.knobs.quota_client, settings_.knobs.overload),
       intake_({ports.clock, table_, lease_, quota_, settings_.header_names, settings_.knobs.access}),
-      load_logger_(ports.clock, ports.log, settings_.service, relay_, bottlenecks_, settings_.knobs.relay.retry_limit) {
+      load_logger_(ports.clock, ports.log, settings_.service, relay_, bottlenecks_, settings_.knobs.relay.retry_limit),
+      stop_(ports.clock, ports.log,
+            {[this] { return inFlight(); }, [this] { relay_.close(); },
+             [this](std::size_t limit) { return describeUnfinished(limit); }},
+            settings_.knobs.stop, settings_.knobs.disabled) {
     instance_.signalChanged().connect([this] { onInstanceChanged(); });
     instance_.signalLeavesChanged().connect([this] {
         has_uncopied_leaves_ = true;
@@ -144,7 +145,7 @@
 }
 
 bool SidecarNode::isReady() const {
-    return table_.isKnown() && !is_stopping_ && store_session_.isJoined();
+    return table_.isKnown() && !isStopping() && store_session_.isJoined();
 }
 
 void SidecarNode::onInstanceChanged() {
@@ -162,7 +163,7 @@
     if (settings_.knobs.disabled.drain_check && record.state() == wire::INSTANCE_DRAINING) {
         record.set_state(wire::INSTANCE_READY);
     }
-    directory_.updateSelf(record, instance_.leaves(), is_stopping_);
+    directory_.updateSelf(record, instance_.leaves(), isStopping());
     relay_.setRelayCount(selector_.relayCount(settings_.service));
 }
 
@@ -330,13 +331,8 @@
 
 /// A route whose times are not known may take all the time that the request has.
 bool SidecarNode::endsBeforeStop(const entry::EntryPlan& plan) const {
-    if (!is_stopping_ || settings_.knobs.disabled.stop_time_check) {
-        return true;
-    }
-    const auto now = ports_.clock.now();
-    const auto remaining = plan.deadline - now;
-    const auto longest = std::min(remaining, call_times_.upperBound(plan.route->name()).value_or(remaining));
-    return now + longest + settings_.knobs.stop_margin <= stop_started_ + settings_.knobs.max_stop_time;
+    const auto remaining = plan.deadline - ports_.clock.now();
+    return stop_.leavesTimeFor(std::min(remaining, call_times_.upperBound(plan.route->name()).value_or(remaining)));
 }
 
 void SidecarNode::onRelayResult(const entry::EntryPlan& plan, const std::string& relay,
@@ -474,60 +470,32 @@
 // Stop ---------------------------------------------------------------------
 
 void SidecarNode::stop(StopCallbacks callbacks) {
-    if (is_stopping_) {
+    if (isStopping()) {
         return;
     }
-    is_stopping_ = true;
-    stop_started_ = ports_.clock.now();
-    stop_callbacks_ = std::move(callbacks);
-    ports_.log.write(Event("node_stopping").with("in_flight", inFlight()));
-    relay_.stop(stop_started_ + settings_.knobs.max_stop_time - kStopCheckInterval);
+    stop_.start(std::move(callbacks));
+    relay_.stop(stop_.runDeadline());
     shard_lease_manager_.release();
     directory_.updateSelf(instance_.record(), instance_.leaves(), true);
     if (instance_.record().state() == wire::INSTANCE_GONE) {
         store_session_.withdraw();
     }
-    stop_timer_ = ports_.clock.startTimer(settings_.knobs.drain_time, [this] { onDrained(); });
-}
-
-void SidecarNode::onDrained() {
-    stop_callbacks_.drained();
-    relay_.close();
-    checkStopped();
-}
-
-void SidecarNode::checkStopped() {
-    const auto elapsed = ports_.clock.now() - stop_started_;
-    const bool has_delivered = stop_callbacks_.has_delivered();
-    const bool is_idle = inFlight() == 0 && has_delivered;
-    if (is_idle || settings_.knobs.disabled.shutdown_wait || elapsed >= settings_.knobs.max_stop_time) {
-        ports_.log.write(Event("node_idle")
-                             .with("in_flight", inFlight())
-                             .with("delivered", has_delivered ? "yes" : "no")
-                             .with("after_ms", toMilliseconds(elapsed)));
-        logUnfinished();
-        stop_callbacks_.done();
-        return;
-    }
-    stop_timer_ = ports_.clock.startTimer(kStopCheckInterval, [this] { checkStopped(); });
 }
 
-void SidecarNode::logUnfinished() const {
-    std::size_t lines = 0;
-    for (const auto& request : intake_.waitingRequests(kMaxUnfinishedLines)) {
-        ports_.log.write(Event("request_unfinished").with("request", request).with("hop", "quota"));
-        ++lines;
+std::vector<Event> SidecarNode::describeUnfinished(std::size_t limit) const {
+    std::vector<Event> events;
+    for (const auto& request : intake_.waitingRequests(limit)) {
+        events.push_back(Event("request_unfinished").with("request", request).with("hop", "quota"));
     }
     for (const auto& [call_id, call] : calls_) {
-        if (lines >= kMaxUnfinishedLines) {
-            return;
+        if (events.size() >= limit) {
+            return events;
         }
-        ports_.log.write(call->describe("request_unfinished"));
-        ++lines;
-    }
-    for (const auto& event : relay_.describeUnfinished("request_unfinished", kMaxUnfinishedLines - lines)) {
-        ports_.log.write(event);
+        events.push_back(call->describe("request_unfinished"));
     }
+    const auto relayed = relay_.describeUnfinished("request_unfinished", limit - events.size());
+    events.insert(events.end(), relayed.begin(), relayed.end());
+    return events;
 }
 
 }  // namespace dewcrank::sidecar
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -28,6 +28,7 @@
 #include "src/ports/random_source.h"
 #include "src/relay/relay_service.h"
 #include "src/sidecar/call_admission.h"
+#include "src/sidecar/graceful_stop.h"
 #include "src/sidecar/load_logger.h"
 #include "src/sidecar/settings.h"
 #include "src/sidecar/store_session.h"
@@ -52,13 +53,6 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t> wasted_executions;
 };
 
-/// What a graceful shutdown needs of the owner of the node, who has the connections.
-struct StopCallbacks {
-    std::function<void()> drained;  ///< Called after the drain time: no further request may be passed to the node.
-    std::function<bool()> has_delivered;  ///< @return whether the peers have received all replies.
-    std::function<void()> done;           ///< Called once, when the shutdown has ended.
-};
-
 /// Wires all parts of a node together. Owns no socket, clock or thread; all calls come from one event loop.
 ///
 /// Log events:
@@ -117,7 +111,7 @@
 
     /// @return true if this node can take calls: it has a table, has joined the fleet and is not stopping.
     [[nodiscard]] bool isReady() const;
-    [[nodiscard]] bool isStopping() const { return is_stopping_; }
+    [[nodiscard]] bool isStopping() const { return stop_.hasStarted(); }
     /// @return the number of unfinished calls, of local callers and of other nodes.
     [[nodiscard]] std::size_t inFlight() const { return calls_.size() + intake_.waitingCount() + relay_.inFlight(); }
     [[nodiscard]] policy::RouteTable& table() { return table_; }
@@ -169,10 +163,8 @@
     void onLeavesRecovered(const std::vector<wire::InstanceLeave>& leaves);
     void onTableAdopted();
     void onNodeUnresponsive(const std::string& name);
-    void onDrained();
-    void checkStopped();
-    /// Logs the requests that a stop leaves unfinished.
-    void logUnfinished() const;
+    /// @return an event for each request that is unfinished here, `limit` at most.
+    [[nodiscard]] std::vector<Event> describeUnfinished(std::size_t limit) const;
 
     Ports ports_;
     Settings settings_;
@@ -211,10 +203,7 @@
     std::vector<std::unique_ptr<entry::EntryCall>> ended_calls_;  ///< Destroyed later by ended_timer_.
     TimerHandle ended_timer_;
     bool has_uncopied_leaves_ = false;  ///< Since the last whenLeavesCopied().
-    bool is_stopping_ = false;
-    TimePoint stop_started_{};
-    StopCallbacks stop_callbacks_;
-    TimerHandle stop_timer_;
+    GracefulStop stop_;
 };
 
 }  // namespace dewcrank::sidecar
--- a/tests/simulation/late_requests_test.cc
+++ b/tests/simulation/late_requests_test.cc
@@ -57,7 +57,7 @@
     /// Stops a node, and sends requests to the entry while clients may still do so.
     StopResult play(std::size_t stopped) {
         fleet_.node(stopped)->stop({[] {}, [] { return true; }, [this, stopped] { end(stopped); }});
-        for (Duration at{}; at < knobs_.drain_time; at += kGap) {
+        for (Duration at{}; at < knobs_.stop.drain_time; at += kGap) {
             send("late-" + std::to_string(toMilliseconds(at)));
             fleet_.runFor(kGap);
         }
--- a/tests/simulation/planned_stop_test.cc
+++ b/tests/simulation/planned_stop_test.cc
@@ -29,16 +29,16 @@
 
 /// Guards against a stop that ends with its last call, while clients still read their responses.
 BOOST_AUTO_TEST_CASE(a_stop_waits_for_replies_that_are_still_being_delivered) {
-    fleet.runFor(knobs.drain_time + 1s);
+    fleet.runFor(knobs.stop.drain_time + 1s);
     BOOST_TEST((ended == TimePoint{}));
     has_delivered = true;
     fleet.runFor(100ms);
-    BOOST_TEST((ended > began + knobs.drain_time + 1s));
+    BOOST_TEST((ended > began + knobs.stop.drain_time + 1s));
 }
 
 /// Guards against a stop that waits for a client that never reads.
 BOOST_AUTO_TEST_CASE(a_stop_ends_at_its_limit_whatever_is_left) {
-    fleet.runFor(knobs.max_stop_time - 100ms);
+    fleet.runFor(knobs.stop.max_time - 100ms);
     BOOST_TEST((ended == TimePoint{}));
     fleet.runFor(200ms);
     BOOST_TEST((ended > TimePoint{}));
@@ -46,10 +46,10 @@
 
 /// Guards against a second stop that begins the first one anew.
 BOOST_AUTO_TEST_CASE(a_second_stop_changes_nothing) {
-    fleet.runFor(knobs.drain_time + 500ms);
+    fleet.runFor(knobs.stop.drain_time + 500ms);
     bool has_second_ended = false;
     fleet.node(0)->stop({[] {}, [] { return true; }, [&] { has_second_ended = true; }});
-    fleet.runFor(knobs.max_stop_time - knobs.drain_time - 600ms);
+    fleet.runFor(knobs.stop.max_time - knobs.stop.drain_time - 600ms);
     BOOST_TEST((ended == TimePoint{}));
     fleet.runFor(200ms);
     BOOST_TEST((ended > TimePoint{}));
--- a/tests/simulation/stop_record_test.cc
+++ b/tests/simulation/stop_record_test.cc
@@ -80,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(a_stop_that_ends_at_its_limit_names_the_requests_it_leaves) {
     bool has_ended = false;
     fleet->node(0)->stop({[] {}, [] { return false; }, [&] { has_ended = true; }});
-    fleet->runFor(knobs.max_stop_time - 500ms);
+    fleet->runFor(knobs.stop.max_time - 500ms);
     fleet->send(0, "/sign/x", false);
     const auto id = fleet->requests().back()->id;
     fleet->runFor(600ms);
