Bound the bytes of incomplete responses that a node holds in sum

Cause: each response is cut at 64 MiB, and nothing bounds their sum. Above 32 MiB all but the one that began first stop reading, so that their senders wait; that one goes on to its end or its limit.

--- a/apps/sidecar/sidecar_daemon.cc
+++ b/apps/sidecar/sidecar_daemon.cc
@@ -19,6 +19,8 @@
 constexpr Duration kInstanceMaxIdleTime = 8s;
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 128;
+/// Incomplete responses that are read at the same time, in sum; one response may exceed it.
+constexpr std::size_t kMaxIncompleteBytes = std::size_t{32} * 1024 * 1024;
 const adapters::HttpLimits kDefaultLimits{std::size_t{64} * 1024, kMaxBodyBytes};
 
 /// Start time in microseconds since the epoch; unique per process start unless the system clock is set back.
@@ -27,15 +29,17 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
-adapters::ClientOptions nodeClientOptions() {
+adapters::ClientOptions nodeClientOptions(adapters::BufferBudget* budget) {
     adapters::ClientOptions options;
+    options.budget = budget;
     options.max_idle_per_address = kMaxIdlePerAddress;
     options.max_idle_time = kIdleTimeout - 5s;
     return options;
 }
 
-adapters::ClientOptions instanceClientOptions(const HeaderNames& names) {
+adapters::ClientOptions instanceClientOptions(const HeaderNames& names, adapters::BufferBudget* budget) {
     adapters::ClientOptions options;
+    options.budget = budget;
     options.accepts_close_delimited = true;
     options.max_idle_per_address = kMaxIdlePerAddress;
     options.max_idle_time = kInstanceMaxIdleTime;
@@ -53,8 +57,10 @@
       log_(loop_, process_log_, {"request_answered", "relayed", "client_left"}, {}, {"response_cut"}),
       cut_log_(log_),
       random_(std::random_device{}()),
-      nodes_(loop_, kDefaultLimits, nodeClientOptions()),
-      instances_(loop_, kDefaultLimits, instanceClientOptions(platform(nodes_, loop_, settings_).header_names)),
+      incomplete_responses_(kMaxIncompleteBytes),
+      nodes_(loop_, kDefaultLimits, nodeClientOptions(&incomplete_responses_)),
+      instances_(loop_, kDefaultLimits,
+                 instanceClientOptions(platform(nodes_, loop_, settings_).header_names, &incomplete_responses_)),
       store_http_(loop_, kDefaultLimits),
       platform_(platform(store_http_, loop_, settings_)),
       node_(sidecar::Ports{loop_, random_, nodes_, instances_, *platform_.store, log_}, nodeSettings()),
@@ -232,6 +238,8 @@
     stats.instance_connections = instances_.openConnections();
     stats.instance_connections_total = instances_.totalConnections();
     stats.heartbeats_rejected = rejected_heartbeats_;
+    stats.incomplete_response_bytes = incomplete_responses_.held();
+    stats.response_pauses = incomplete_responses_.pauses();
     stats.store_entries_skipped = platform_.store->skippedEntries();
     stats.response_cuts = cut_log_.totals();
     stats.log_lines_dropped = adapters::ProcessLog::droppedLines();
--- a/apps/sidecar/sidecar_daemon.h
+++ b/apps/sidecar/sidecar_daemon.h
@@ -82,9 +82,10 @@
     adapters::ResponseCutLog cut_log_;
     adapters::SidecarMetrics metrics_;
     adapters::SeededRandom random_;
-    adapters::HttpClient nodes_;       ///< Client for other nodes.
-    adapters::HttpClient instances_;   ///< Client for the local instance.
-    adapters::HttpClient store_http_;  ///< Client for the store.
+    adapters::BufferBudget incomplete_responses_;  ///< Of instances and other nodes.
+    adapters::HttpClient nodes_;                   ///< Client for other nodes.
+    adapters::HttpClient instances_;               ///< Client for the local instance.
+    adapters::HttpClient store_http_;              ///< Client for the store.
     PlatformParts platform_;
     sidecar::SidecarNode node_;
     adapters::HttpServer callers_;         ///< Calls of local callers and of the instance.
--- a/src/adapters/client_connection.cc
+++ b/src/adapters/client_connection.cc
@@ -41,9 +41,16 @@
 }
 
 ClientConnection::~ClientConnection() {
+    setHeldBytes(0);
     --client_.open_connections_;
 }
 
+void ClientConnection::setHeldBytes(std::size_t bytes) {
+    if (client_.options_.budget != nullptr) {
+        client_.options_.budget->set(*this, bytes);
+    }
+}
+
 bool ClientConnection::connect() {
     const auto target = parseSocketAddress(address_);
     sockaddr_in address{};
@@ -109,6 +116,7 @@
             fail(state == HttpMessageParser::State::kTooLarge ? "answer-too-large" : "malformed-answer");
         }
     }
+    setHeldBytes(listener_ == nullptr ? 0 : parser_.bodyBytes());
     return consumed;
 }
 
@@ -119,6 +127,7 @@
 
 /// The listener may release this connection; the loop destroys it later.
 void ClientConnection::completeResponse() {
+    setHeldBytes(0);
     keep_alive_ = parser_.shouldKeepAlive() && !parser_.endsWithConnection();
     auto response = parser_.takeResponse();
     if (belongsToEarlierRequest(response)) {
@@ -136,6 +145,7 @@
 /// The listener or the client may release this connection; the loop destroys it later.
 void ClientConnection::fail(const std::string& reason) {
     has_failed_ = true;
+    setHeldBytes(0);
     if (auto* listener = std::exchange(listener_, nullptr)) {
         listener->onFailed(reason);
     } else {
--- a/src/adapters/client_connection.h
+++ b/src/adapters/client_connection.h
@@ -11,7 +11,7 @@
 namespace dewcrank::adapters {
 
 /// Connection to one address that carries one request at a time and parses the response.
-class ClientConnection : private SocketStream::Listener {
+class ClientConnection : private SocketStream::Listener, private BufferBudget::Reader {
 public:
     /// Receives the events of a connection. After onResponse or onFailed the listener is detached.
     class Listener {
@@ -50,6 +50,9 @@
     void onConnected() override;
     std::size_t onBytes(std::string_view bytes) override;
     void onClosed(CloseReason reason) override;
+    void setPaused(bool is_paused) override { stream_.setPaused(is_paused); }
+    /// Reports the bytes of an incomplete response to the budget.
+    void setHeldBytes(std::size_t bytes);
     /// Passes the parsed response to the listener, or discards it if it belongs to an earlier request.
     void completeResponse();
     /// @return true if the echoed header of the response differs from that of the request.
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/adapters/buffer_budget.h"
 #include "src/adapters/event_loop.h"
 #include "src/adapters/http_parser.h"
 #include "src/ports/http_transport.h"
@@ -26,6 +27,8 @@
     /// Name of a header that the peer echoes from each request. A response with another value belongs to an earlier
     /// request: the client discards it and waits for the next one. Empty: not checked.
     std::string echoed_header;
+    /// Bounds the incomplete responses of this client, with those of others that share it; null: no bound. Outlives it.
+    BufferBudget* budget = nullptr;
 };
 
 /// Sends each request once, without retries. A connection carries one request at a time and is pooled afterwards.
--- a/src/adapters/http_parser.h
+++ b/src/adapters/http_parser.h
@@ -56,6 +56,8 @@
     [[nodiscard]] bool shouldKeepAlive() const { return keep_alive_; }
     /// @return true if the sender waits for an interim response (100 Continue) before it sends the body.
     [[nodiscard]] bool expectsContinue() const;
+    /// @return the bytes of the body that have been parsed.
+    [[nodiscard]] std::size_t bodyBytes() const { return body_.size(); }
 
     /// Moves the message out. Valid only after kComplete.
     [[nodiscard]] HttpRequest takeRequest();
--- a/src/adapters/sidecar_metrics.cc
+++ b/src/adapters/sidecar_metrics.cc
@@ -148,6 +148,10 @@
     setGauge("dewcrank_heartbeats", "Heartbeats of the instance.", static_cast<double>(node.counters().heartbeats));
     setGauge("dewcrank_heartbeats_refused", "Heartbeats that could not be read, or name no service of the table.",
              static_cast<double>(stats.heartbeats_rejected));
+    setGauge("dewcrank_incomplete_response_bytes", "Bytes of large responses that have not arrived completely.",
+             static_cast<double>(stats.incomplete_response_bytes));
+    setGauge("dewcrank_response_pauses", "Times that a response was held up, since others took too many bytes.",
+             static_cast<double>(stats.response_pauses));
     setGauge("dewcrank_store_entries_skipped", "Invalid entries of the store's list of nodes, in all lists read.",
              static_cast<double>(stats.store_entries_skipped));
     setGauge("dewcrank_store_era", "Raised each time that the store comes back from an older copy; 0: it tells none.",
--- a/src/adapters/sidecar_metrics.h
+++ b/src/adapters/sidecar_metrics.h
@@ -19,6 +19,8 @@
     std::size_t instance_connections = 0;          ///< Open connections to the local instance.
     std::uint64_t instance_connections_total = 0;  ///< Connections opened to the local instance since the start.
     std::uint64_t heartbeats_rejected = 0;         ///< Invalid, or for an unknown service.
+    std::size_t incomplete_response_bytes = 0;     ///< See BufferBudget::held().
+    std::uint64_t response_pauses = 0;             ///< See BufferBudget::pauses().
     std::uint64_t store_entries_skipped = 0;       ///< See ControlStore::skippedEntries().
     ResponseCutLog::Totals response_cuts;          ///< See ResponseCutLog.
     std::uint64_t log_lines_dropped = 0;           ///< See ProcessLog::droppedLines.
--- a/src/adapters/socket_stream.cc
+++ b/src/adapters/socket_stream.cc
@@ -124,11 +124,18 @@
     deliver(bytes);
 }
 
+void SocketStream::setPaused(bool is_paused) {
+    is_paused_ = is_paused;
+    if (descriptor_ >= 0 && !is_connecting_) {
+        updateReadEvent();
+    }
+}
+
 void SocketStream::updateReadEvent() {
     if (is_stopped_) {
         return;
     }
-    const bool is_full = read_ahead_ > 0 && unconsumedBytes() >= read_ahead_;
+    const bool is_full = is_paused_ || (read_ahead_ > 0 && unconsumedBytes() >= read_ahead_);
     const bool is_watching = event_pending(&readable_, EV_READ, nullptr) != 0;
     if (is_full && is_watching) {
         event_del(&readable_);
--- a/src/adapters/socket_stream.h
+++ b/src/adapters/socket_stream.h
@@ -56,6 +56,8 @@
     void accept(evutil_socket_t descriptor);
     /// Pauses reading while at least this many bytes are unconsumed (backpressure). 0: no limit.
     void setReadAhead(std::size_t bytes) { read_ahead_ = bytes; }
+    /// Stops reading whatever has arrived (backpressure), or goes on. A close by the peer shows only when it goes on.
+    void setPaused(bool is_paused);
     /// Closes the stream if the peer accepts no data for this time. Zero: no timeout.
     void setWriteTimeout(Duration timeout) { write_timeout_ = timeout; }
 
@@ -105,10 +107,11 @@
     std::string input_;     ///< Received bytes that are not consumed.
     std::string output_;    ///< Output to send, starting at `sent_`; empty when everything is sent.
     std::size_t sent_ = 0;  ///< At most the size of `output_`.
-    event readable_{};      ///< Pending unless `read_ahead_` is reached.
+    event readable_{};      ///< Pending unless paused, or `read_ahead_` is reached.
     event writable_{};      ///< Pending while connecting or while output is buffered.
     std::size_t read_ahead_ = 0;
     Duration write_timeout_{};
+    bool is_paused_ = false;
     bool is_connecting_ = false;
     bool is_stopped_ = false;
 };
--- a/tests/process/command_line_test.sh
+++ b/tests/process/command_line_test.sh
@@ -55,6 +55,14 @@
 expect "unknown key" 2 'bad.toml:1: speed: unknown key' "$node" --settings "$work/bad.toml"
 sed '/^name/d' "$work/node.toml" > "$work/short.toml"
 expect "missing key" 2 'name: is missing' "$node" --settings "$work/short.toml"
+for ports in 7620 7635,7620 0,5 7620,65536 7620,x; do
+    expect "fresh ports $ports" 2 "fresh-ports: '$ports' is not FIRST,LAST" "$node" --settings "$work/node.toml" \
+        --check-settings "--fresh-ports=$ports"
+done
+for ports in 7620,7635 ""; do
+    expect "fresh ports '$ports'" 0 "zone = north" "$node" --settings "$work/node.toml" \
+        --check-settings "--fresh-ports=$ports"
+done
 expect "missing file" 2 'nowhere.toml' "$node" --settings "$work/nowhere.toml"
 # Guards against a node that is ended by a reload signal while it starts. It opens a pipe in place of its settings, which
 # holds it up until the signal was sent; then it says that it cannot read them.
--- a/tests/unit/platform/platform_test.cc
+++ b/tests/unit/platform/platform_test.cc
@@ -90,6 +90,17 @@
 
 BOOST_AUTO_TEST_SUITE(unit_platform)
 
+BOOST_AUTO_TEST_CASE(the_response_to_a_heartbeat_names_the_address_for_further_ones) {
+    const auto request = post("/dewcrank/Instances.Heartbeat/i1",
+                              R"({"Address":"a:1","Info":{"Service":"s","Version":"v","Zone":"z","Slots":1},)"
+                              R"("Status":{"State":"ready","CallSeq":1,"ColdLeftMs":0}})");
+    RecordingListener listener;
+    platform::InstanceRequests requests;
+    BOOST_TEST(requests.handle(request, listener).body == "{}");
+    listener.heartbeat_address = "10.0.0.1:7620";
+    BOOST_TEST(requests.handle(request, listener).body == R"({"BeatAddr":"10.0.0.1:7620"})");
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_becomes_a_table) {
     const auto table = platform::readConfigDocument(nlohmann::json::parse(kDocument));
     BOOST_TEST(table.version() == 0x1fU);
