Let open connections go by the limits in force when a request begins

Cause: a connection's parser had a copy of the limits from when the connection was accepted. Evidence: contract_http_server a_request_goes_by_the_limits_in_force_when_it_begins and an_idle_connection_goes_by_the_idle_time_in_force: 4 checks fail without the change. Change: setLimits tells all open connections. A request that has begun keeps its limits; an idle time begins anew.

--- a/src/adapters/http_parser.cc
+++ b/src/adapters/http_parser.cc
@@ -98,10 +98,17 @@
 }
 
 HttpMessageParser::HttpMessageParser(Kind kind, HttpLimits limits)
-    : type_(kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE), limits_(limits) {
+    : type_(kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE), limits_(limits), next_limits_(limits) {
     reset();
 }
 
+void HttpMessageParser::setLimits(HttpLimits limits) {
+    next_limits_ = limits;
+    if (!has_started_) {
+        limits_ = limits;
+    }
+}
+
 http_parser_settings HttpMessageParser::makeSettings() {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
@@ -130,6 +137,7 @@
 void HttpMessageParser::reset(bool expects_no_body) {
     http_parser_init(&parser_, type_);
     parser_.data = this;
+    limits_ = next_limits_;
     expects_no_body_ = expects_no_body;
     has_started_ = false;
     has_complete_head_ = false;
@@ -263,8 +271,10 @@
         const auto no_body = expects_no_body_;
         const auto parser = parser_;
         const auto head_bytes = head_bytes_;
+        const auto limits = limits_;
         reset(no_body);
         parser_ = parser;
+        limits_ = limits;
         head_bytes_ = head_bytes;  // Interim responses without end are a head without end.
         return 0;                  // The final response follows.
     }
--- a/src/adapters/http_parser.h
+++ b/src/adapters/http_parser.h
@@ -38,6 +38,8 @@
     HttpMessageParser(const HttpMessageParser&) = delete;
     HttpMessageParser& operator=(const HttpMessageParser&) = delete;
 
+    /// Sets the limits of the messages that begin from now on; one that has begun keeps its own.
+    void setLimits(HttpLimits limits);
     /// Starts a new message.
     /// @param expects_no_body true for the response to a HEAD request.
     void reset(bool expects_no_body = false);
@@ -54,10 +56,10 @@
     [[nodiscard]] bool endsWithConnection() const { return ends_with_connection_; }
     /// @return true if the connection may carry another message after this one.
     [[nodiscard]] bool shouldKeepAlive() const { return keep_alive_; }
-    /// @return true if the sender waits for an interim response (100 Continue) before it sends the body.
-    [[nodiscard]] bool expectsContinue() const;
     /// @return the bytes of the body that have been parsed.
     [[nodiscard]] std::size_t bodyBytes() const { return body_.size(); }
+    /// @return true if the sender waits for an interim response (100 Continue) before it sends the body.
+    [[nodiscard]] bool expectsContinue() const;
 
     /// Moves the message out. Valid only after kComplete.
     [[nodiscard]] HttpRequest takeRequest();
@@ -79,7 +81,8 @@
     [[nodiscard]] State errorState(const char* data, std::size_t size) const;
 
     http_parser_type type_;
-    HttpLimits limits_;
+    HttpLimits limits_;       ///< Of the current message.
+    HttpLimits next_limits_;  ///< Of those that begin later.
     http_parser parser_{};
     bool expects_no_body_ = false;
     bool has_started_ = false;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -102,6 +102,9 @@
 void HttpServer::setLimits(HttpLimits limits, ServerTimeouts timeouts) {
     limits_ = limits;
     timeouts_ = timeouts;
+    for (auto* connection : connections_) {
+        connection->onLimitsChanged();
+    }
 }
 
 void HttpServer::stopAccepting() {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -75,7 +75,8 @@
 
     /// Starts to listen; port 0 selects a free port. @return the bound address, or the error.
     Result<SocketAddress> listen(const SocketAddress& address);
-    /// Sets the size limits of new connections, and the timeouts that are started from now on.
+    /// Sets the size limits and timeouts of all requests that begin from now on, and of the times until they come, on
+    /// open connections too. A request that has begun keeps its own.
     void setLimits(HttpLimits limits, ServerTimeouts timeouts);
     /// Reports the responses that clients do not receive, of requests with an id.
     /// @param request_id_header name of the header with the id.
--- a/src/adapters/server_connection.cc
+++ b/src/adapters/server_connection.cc
@@ -34,6 +34,13 @@
     updateDeadline();
 }
 
+void ServerConnection::onLimitsChanged() {
+    parser_.setLimits(server_.limits_);
+    if (!is_closed_ && !parser_.hasStarted()) {
+        updateDeadline();
+    }
+}
+
 bool ServerConnection::isIdle() const {
     return pending_.empty() && stream_.unacknowledgedBytes() == 0;
 }
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -22,6 +22,8 @@
 
     /// Called when an exchange has its response: writes the responses at the head of the queue.
     void onReplied();
+    /// Applies the limits and timeouts of the server to the next request, and to the time until it comes.
+    void onLimitsChanged();
     /// @return true if no request waits for its response, and the client's host has all responses. False if it has gone
     /// silent, until the connection times out.
     [[nodiscard]] bool isIdle() const;
--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -191,6 +191,52 @@
     }
 }
 
+/// Guards against connections that keep the limits which were in force when they were opened.
+BOOST_AUTO_TEST_CASE(a_request_goes_by_the_limits_in_force_when_it_begins) {
+    const auto post = [](std::size_t size) {
+        return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+               std::string(size, 'x');
+    };
+    const auto sendOn = [this](int descriptor, const std::string& bytes) {
+        BOOST_REQUIRE(write(descriptor, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+        std::string response;
+        runUntil([&] {
+            char buffer[4096];
+            const auto count = recv(descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+            response.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+            return count == 0 || response.find("\r\n\r\n") != std::string::npos;
+        });
+        return response.substr(0, response.find("\r\n"));
+    };
+    const adapters::ServerTimeouts timeouts{1s, 1s};
+    const int raised = connect();
+    const int lowered = connect();
+    const int begun = connect();
+    BOOST_TEST(sendOn(raised, post(10)) == "HTTP/1.1 200 OK");
+    BOOST_TEST(sendOn(lowered, post(10)) == "HTTP/1.1 200 OK");
+    server.setLimits({1024, 8192}, timeouts);
+    BOOST_TEST(sendOn(raised, post(8000)) == "HTTP/1.1 200 OK");
+    const auto under_way = post(8000);
+    BOOST_REQUIRE(write(begun, under_way.data(), 4000) == 4000);
+    runFor(50ms);
+    server.setLimits({1024, 100}, timeouts);
+    BOOST_TEST(sendOn(begun, under_way.substr(4000)) == "HTTP/1.1 200 OK");
+    BOOST_TEST(sendOn(lowered, post(200)) == "HTTP/1.1 413 Payload Too Large");
+    for (const int descriptor : {raised, lowered, begun}) {
+        close(descriptor);
+    }
+}
+
+/// Guards against an idle connection that keeps the idle time which was in force when it became idle.
+BOOST_AUTO_TEST_CASE(an_idle_connection_goes_by_the_idle_time_in_force) {
+    server.setLimits({1024, 4096}, {1s, 2 * tests::kWaitLimit});
+    const int descriptor = connect();
+    runFor(50ms);
+    server.setLimits({1024, 4096}, {1s, 100ms});
+    BOOST_TEST(readToEnd(descriptor).empty());  // Fails if it is still open after kWaitLimit.
+    close(descriptor);
+}
+
 BOOST_AUTO_TEST_CASE(a_client_disconnect_is_detected_before_the_response) {
     reply_at_once = false;
     const int descriptor = connect();
