--- a/tests/simulation/sidecar_test.cc
+++ b/tests/simulation/sidecar_test.cc
@@ -422,7 +422,7 @@
     }
 }
 
-/// Seeds on which the limit on failures is exceeded.
+/// A seed on which the limit on failures was exceeded, with 7 of 6.
 BOOST_AUTO_TEST_CASE(failures_are_tried_elsewhere_on_further_seeds) {
     checkFailuresAreRetried({4s, 6}, 380);
 }
