Ask an instance that rejects probes with exponential backoff

Cause: a node that starts asks the health path of an instance that it can't confirm again each 0.25 s, and at each heartbeat. An instance that sheds rejects probes as it does requests, so that three nodes sent 42 probes in ten seconds. Change: 0.25 s, doubled up to 4 s, and no probe for a heartbeat while the next one is scheduled. Measured: unit_instance_heartbeat_check an_instance_that_rejects_probes_gets_few_of_them: at most 7 in 10.5 s (the former interval: one each 0.25 s); simulation_instance_leaves passes.

--- a/src/instance/heartbeat_check.cc
+++ b/src/instance/heartbeat_check.cc
@@ -15,7 +15,8 @@
       names_(names),
       address_(std::move(address)),
       accept_(std::move(accept)),
-      knobs_(knobs) {}
+      knobs_(knobs),
+      retry_interval_(knobs.min_retry_interval) {}
 
 void HeartbeatCheck::onTable(std::string path) {
     path_ = std::move(path);
@@ -34,7 +35,7 @@
     if (is_unconfirmed_) {
         recordNaming(heartbeat);
     }
-    if (path_ && probe_ == nullptr) {
+    if (path_ && probe_ == nullptr && retry_timer_ == nullptr) {
         probe();
     }
 }
@@ -52,6 +53,9 @@
 
 void HeartbeatCheck::probe() {
     retry_timer_.reset();
+    if (!held_) {
+        return;
+    }
     if (path_->empty()) {
         onAnswer(Answer::kNoPath);
         return;
@@ -108,10 +112,15 @@
         case Answer::kNone:
             logUnconfirmed("no-response");
             is_unconfirmed_ = true;
-            retry_timer_ = clock_.startTimer(knobs_.retry_interval, [this] { probe(); });
+            retryLater();
     }
 }
 
+void HeartbeatCheck::retryLater() {
+    retry_timer_ = clock_.startTimer(retry_interval_, [this] { probe(); });
+    retry_interval_ = std::min(2 * retry_interval_, knobs_.max_retry_interval);
+}
+
 /// A heartbeat of another incarnation may still be held back for its own proof.
 void HeartbeatCheck::accept(const Heartbeat& heartbeat) {
     const bool is_held = held_ && held_->id == heartbeat.id && held_->start_ms == heartbeat.start_ms;
@@ -121,6 +130,7 @@
     if (!held_) {
         is_unconfirmed_ = false;
         retry_timer_.reset();
+        retry_interval_ = knobs_.min_retry_interval;
     }
     accept_(heartbeat);
 }
--- a/src/instance/heartbeat_check.h
+++ b/src/instance/heartbeat_check.h
@@ -20,8 +20,10 @@
 namespace dewcrank::instance {
 
 struct HeartbeatCheckKnobs {
-    Duration probe_timeout = 250ms;   ///< An instance without a response in this time cannot be asked.
-    Duration retry_interval = 250ms;  ///< From a probe without a usable response to the next one.
+    Duration probe_timeout = 250ms;  ///< An instance without a response in this time cannot be asked.
+    /// Exponential backoff from a probe without a usable response to the next one: a full instance rejects probes too.
+    Duration min_retry_interval = 250ms;
+    Duration max_retry_interval = 4s;
 };
 
 /// How a heartbeat has arrived.
@@ -37,7 +39,7 @@
 /// - it came to the fresh address, later in the sequence than one whose response has named that: it was composed after
 ///   that response.
 /// Until then the instance is asked again: at each further heartbeat if it says that it is leaving, which may be false,
-/// and at `retry_interval` if it says nothing.
+/// and after increasing intervals if it says nothing.
 ///
 /// Log events:
 ///   heartbeat_unconfirmed   a heartbeat is held back or dropped, since the instance has not confirmed it: `reason`
@@ -70,6 +72,7 @@
         kNone,     ///< It has no or no usable response at present.
     };
     void probe();
+    void retryLater();
     [[nodiscard]] Answer answerOf(const AttemptResult& result) const;
     void onAnswer(Answer answer);
     /// Registers that the response to this heartbeat names the fresh address.
@@ -93,6 +96,7 @@
     std::uint64_t named_at_ = 0;
     AttemptHandle probe_;
     TimerHandle retry_timer_;
+    Duration retry_interval_;  ///< After the next probe without a usable response.
     std::uint64_t probes_sent_ = 0;
 };
 
--- a/tests/unit/instance/heartbeat_check_test.cc
+++ b/tests/unit/instance/heartbeat_check_test.cc
@@ -141,20 +141,32 @@
     check.onHeartbeat(beat("i1", 7), {});
     time.advance(2s);
     expect({}, "no response");
-    BOOST_TEST(check.probesSent() >= 4U);
-    BOOST_TEST(check.probesSent() <= 6U);
+    BOOST_TEST(check.probesSent() == 3U);
     instance.respond(503, "");
     instance.result.response.headers.set(HeaderNames{}.not_executed, "1");
     time.advance(2s);
     expect({}, "full");
     instance.respond(200, "i1");
-    time.advance(600ms);
+    time.advance(4s);
     expect({7}, "asked again");
     const auto probes = check.probesSent();
     time.advance(2s);
     BOOST_TEST(check.probesSent() == probes);
 }
 
+/// Guards against probes at a high rate of instances that are full and reject them, while their heartbeats go on.
+BOOST_AUTO_TEST_CASE(an_instance_that_rejects_probes_gets_few_of_them) {
+    check.onTable("/health");
+    instance.respond(503, "");
+    instance.result.response.headers.set(HeaderNames{}.not_executed, "1");
+    for (std::uint64_t sequence = 1; sequence <= 7; ++sequence) {
+        check.onHeartbeat(beat("i1", sequence), {});
+        time.advance(1500ms);
+    }
+    BOOST_TEST(check.probesSent() >= 4U);
+    BOOST_TEST(check.probesSent() <= 7U);
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_without_a_health_path_is_believed) {
     check.onTable("");
     check.onHeartbeat(beat("i1", 9), {});
